--- /dev/null
+++ b/internal/caller/routing.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/rules"
+)
+
+// Routing is what a request is matched against. It is immutable once published.
+type Routing struct {
+	Rules *tarragonwell.RuleSet
+	// Dispatchers by the name of the service; one for each service in Rules.
+	Dispatchers map[string]tarragonwell.Dispatcher
+	matcher     *rules.Matcher
+	meters      map[string]*meter
+}
+
+// meter counts the requests of one kind.
+type meter struct {
+	outcomes map[tarragonwell.Outcome]*metrics.Counter
+	seconds  *metrics.Histogram
+}
+
+// NewRouting indexes a rules file.
+func NewRouting(set *tarragonwell.RuleSet, dispatchers map[string]tarragonwell.Dispatcher, s *metrics.Set) *Routing {
+	r := &Routing{
+		Rules:       set,
+		Dispatchers: dispatchers,
+		matcher:     rules.NewMatcher(set.Routes),
+		meters:      map[string]*meter{},
+	}
+	for name := range set.Kinds {
+		r.meters[name] = newMeter(s, name)
+	}
+	return r
+}
+
+func newMeter(s *metrics.Set, kind string) *meter {
+	m := &meter{
+		outcomes: map[tarragonwell.Outcome]*metrics.Counter{},
+		seconds:  s.GetOrCreateHistogram(fmt.Sprintf("tarragonwell_request_seconds{kind=%q}", kind)),
+	}
+	for _, o := range []tarragonwell.Outcome{tarragonwell.OutcomeComplete, tarragonwell.OutcomeNotRun, tarragonwell.OutcomeUnknown} {
+		m.outcomes[o] = s.GetOrCreateCounter(fmt.Sprintf("tarragonwell_requests_total{kind=%q,outcome=%q}", kind, o))
+	}
+	return m
+}
+
+// Match returns the route of a request, or nil.
+func (r *Routing) Match(method, path string) *tarragonwell.Route {
+	return r.matcher.Match(method, path)
+}
--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/tarragonwell/tarragonwell/internal/operator"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+)
+
+var errNoRule = eris.New("no rule routes this request")
+
+// explainCommand tells which rules are in force for a request.
+type explainCommand struct {
+	Method string `arg:"" help:"The request's method, as GET."`
+	Path   string `arg:"" help:"The request's path, as /bookings/7."`
+	Rules  string `help:"Read the rules from this file." type:"path" placeholder:"FILE" xor:"source" required:""`
+	From   string `help:"Ask the instance with this operators' address." placeholder:"IP:PORT" xor:"source" required:""`
+}
+
+// Run implements the command.
+func (c *explainCommand) Run(o *Output) error {
+	answer, err := c.answer()
+	if err != nil {
+		return err
+	}
+	if !answer.GetFound() {
+		return errNoRule
+	}
+	if c.From != "" {
+		fmt.Fprintf(o.Out, "revision %d, in force at %s\n", answer.GetRevision(), c.From)
+	}
+	for _, r := range answer.GetRules() {
+		fmt.Fprintf(o.Out, "line %d, asked for by: %s\n    %s\n", r.GetLine(), r.GetAskedBy(), r.GetText())
+	}
+	return nil
+}
+
+func (c *explainCommand) answer() (*pb.ExplainResponse, error) {
+	if c.Rules != "" {
+		set, err := readRules(c.Rules)
+		if err != nil {
+			return nil, err
+		}
+		return operator.Explain(set, c.Method, c.Path), nil
+	}
+	request := &pb.ExplainRequest{
+		Method: c.Method,
+		Path:   c.Path,
+	}
+	response, err := operator.NewClient(c.From).Explain(context.Background(), connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/tarragonwell/tarragonwell/internal/operator"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+)
+
+// statusCommand shows an instance.
+type statusCommand struct {
+	From string `help:"The instance's operators' address." placeholder:"IP:PORT" required:""`
+	JSON bool   `help:"Print JSON instead of tables." name:"json"`
+}
+
+// Run implements the command.
+func (c *statusCommand) Run(o *Output) error {
+	response, err := operator.NewClient(c.From).Status(context.Background(), connect.NewRequest(&pb.StatusRequest{}))
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		content, err := protojson.MarshalOptions{
+			Multiline:       true,
+			EmitUnpopulated: true,
+		}.Marshal(response.Msg)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(o.Out, string(content))
+		return nil
+	}
+	return printStatus(o, response.Msg)
+}
+
+func printStatus(o *Output, s *pb.StatusResponse) error {
+	fmt.Fprintf(o.Out, "instance %s  data-center %s  state %s\n", s.GetInstance(), s.GetDataCenter(), s.GetState())
+	fmt.Fprintf(o.Out, "rules revision %d  digest %.12s  platform heard %d ms ago\n", s.GetRulesRevision(), s.GetRulesDigest(), s.GetPlatformAgeMs())
+	if s.GetRefusal() != "" {
+		fmt.Fprintf(o.Out, "revision %d was refused: %s\n", s.GetRefusedRevision(), s.GetRefusal())
+	}
+	fmt.Fprintf(o.Out, "operations remembered %d (%d bytes)\n", s.GetOperations(), s.GetOperationBytes())
+	w := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nPEER\tDATA-CENTER\tSTATE")
+	for _, p := range s.GetPeers() {
+		state := p.GetState().String()[len("MEMBER_STATE_"):]
+		fmt.Fprintf(w, "%s\t%s\t%s\n", p.GetPeerAddress(), p.GetDataCenter(), state)
+	}
+	for _, x := range s.GetServices() {
+		fmt.Fprintf(w, "\nSERVICE %s\tpolicy %s\tin flight %d\tqueued %d\tlimit %.0f\n", x.GetName(), x.GetPolicy(), x.GetInFlight(), x.GetQueued(), x.GetLimit())
+		fmt.Fprintln(w, "TARGET\tDATA-CENTER\tSTATE\tIN-FLIGHT\tOTHERS\tLATENCY-MS\tSENT\tFAILED\tSHED\tPROBES")
+		for _, t := range x.GetTargets() {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%.2f\t%d\t%d\t%d\t%d\n", t.GetAddress(), t.GetDataCenter(), t.GetState(),
+				t.GetInFlight(), t.GetReportedLoad(), t.GetLatencyMs(), t.GetSent(), t.GetFailed(), t.GetShed(), t.GetProbes())
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/instance/operation.go
@@ -0,0 +1,86 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/operation"
+)
+
+// operationDispatcher runs operations at their home.
+type operationDispatcher struct {
+	common    *common.Common
+	documents *documents
+}
+
+// DispatchOperation implements tarragonwell.OperationDispatcher.
+func (o *operationDispatcher) DispatchOperation(ctx context.Context, op *tarragonwell.Operation) tarragonwell.StoredResult {
+	routing := o.documents.Routing()
+	if routing == nil {
+		return notRun("no rules are in force yet")
+	}
+	path, _, _ := strings.Cut(op.Path, "?")
+	route := routing.Match(op.Method, path)
+	if route == nil {
+		return notRun("no rule routes this request")
+	}
+	name := fmt.Sprintf("%x-%d", op.Ticket.Incarnation, op.Ticket.Sequence)
+	result := routing.Dispatchers[route.Service.Name].Dispatch(ctx, &tarragonwell.Call{
+		ID:          name,
+		Method:      op.Method,
+		Path:        op.Path,
+		Header:      op.Header,
+		Body:        op.Body,
+		Route:       route,
+		Deadline:    op.Deadline,
+		RetriesLeft: op.RetriesLeft,
+		Operation:   name,
+	})
+	return o.store(result)
+}
+
+// store makes a result that can be told again.
+func (o *operationDispatcher) store(r tarragonwell.Result) tarragonwell.StoredResult {
+	if r.Answer == nil {
+		return tarragonwell.StoredResult{
+			Outcome: r.Outcome,
+			Reason:  r.Reason,
+		}
+	}
+	defer r.Answer.Body.Close()
+	limit := o.common.Settings.HeldAnswerBytes
+	body, err := io.ReadAll(io.LimitReader(r.Answer.Body, limit+1))
+	if err != nil || int64(len(body)) > limit {
+		return tarragonwell.StoredResult{
+			Outcome: tarragonwell.OutcomeUnknown,
+			Reason:  operation.ReasonNotKept,
+		}
+	}
+	return tarragonwell.StoredResult{
+		Outcome: r.Outcome,
+		Status:  r.Answer.Status,
+		Header:  storedHeader(r.Answer.Header),
+		Body:    body,
+		Reason:  r.Reason,
+	}
+}
+
+// storedHeader leaves out what belongs to one transfer only.
+func storedHeader(h http.Header) map[string][]string {
+	out := h.Clone()
+	out.Del("Content-Length")
+	out.Del("Date")
+	return out
+}
+
+func notRun(reason string) tarragonwell.StoredResult {
+	return tarragonwell.StoredResult{
+		Outcome: tarragonwell.OutcomeNotRun,
+		Reason:  reason,
+	}
+}
--- /dev/null
+++ b/internal/instance/status.go
@@ -0,0 +1,101 @@
+package instance
+
+import (
+	"cmp"
+	"context"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/operator"
+	"github.com/tarragonwell/tarragonwell/internal/peer"
+	"github.com/tarragonwell/tarragonwell/internal/service"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+var _ operator.Source = (*Instance)(nil)
+
+// Ready implements operator.Source.
+func (i *Instance) Ready() bool {
+	return i.ready.Load()
+}
+
+// Rules implements operator.Source.
+func (i *Instance) Rules() *tarragonwell.RuleSet {
+	return i.documents.Rules()
+}
+
+// Status implements operator.Source. Parts that do not answer are left out.
+func (i *Instance) Status(ctx context.Context) *pb.StatusResponse {
+	p := i.documents.published.Load()
+	s := i.peers.Snapshot()
+	out := &pb.StatusResponse{
+		Instance:        i.common.Settings.Name,
+		DataCenter:      i.common.Settings.DataCenter,
+		State:           s.State.String(),
+		Incarnation:     hex.EncodeToString(i.common.Incarnation[:]),
+		RefusedRevision: p.refusal.version.Revision,
+		Refusal:         p.refusal.reason,
+	}
+	if set := i.documents.Rules(); set != nil {
+		out.RulesRevision = set.Version.Revision
+		out.RulesDigest = hex.EncodeToString(set.Version.Digest)
+	}
+	if !s.Contact.IsZero() {
+		out.PlatformAgeMs = uint32(i.common.Clock.Now().Sub(s.Contact).Milliseconds())
+	}
+	for _, m := range s.Alive {
+		out.Peers = append(out.Peers, peer.MemberMessage(m))
+	}
+	for _, x := range p.services {
+		if status, err := x.Status(ctx); err == nil {
+			out.Services = append(out.Services, serviceMessage(status))
+		}
+	}
+	slices.SortFunc(out.Services, func(a, b *pb.ServiceStatus) int {
+		return cmp.Compare(a.GetName(), b.GetName())
+	})
+	if size, err := i.operations.Size(ctx); err == nil {
+		out.Operations = uint32(size.Entries)
+		out.OperationBytes = uint64(size.Bytes)
+	}
+	return out
+}
+
+func serviceMessage(s service.Status) *pb.ServiceStatus {
+	out := &pb.ServiceStatus{
+		Name:     s.Name,
+		InFlight: uint32(max(0, s.InFlight)),
+		Queued:   uint32(s.Waiting),
+		Limit:    s.Limit,
+		Policy:   s.Policy,
+	}
+	for _, t := range s.Targets {
+		out.Targets = append(out.Targets, &pb.TargetStatus{
+			Service:      s.Name,
+			Address:      t.Address,
+			DataCenter:   t.DataCenter,
+			State:        targetState(&t, s.Now),
+			InFlight:     uint32(t.InFlight),
+			ReportedLoad: t.Others,
+			LatencyMs:    float64(t.Latency) / float64(time.Millisecond),
+			Sent:         t.Sent,
+			Failed:       t.Failed,
+			Shed:         t.Shed,
+			Probes:       t.Probes,
+		})
+	}
+	return out
+}
+
+func targetState(t *tarragonwell.TargetState, now time.Time) string {
+	switch {
+	case t.Leaving(now):
+		return "leaving"
+	case now.Before(t.EjectedUntil):
+		return "ejected"
+	default:
+		return "serving"
+	}
+}
--- /dev/null
+++ b/internal/operator/page.go
@@ -0,0 +1,67 @@
+package operator
+
+import (
+	"encoding/hex"
+	"html/template"
+	"net/http"
+
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// pageRecords bounds the changes shown on the page.
+const pageRecords = 200
+
+// pageData is what the page shows.
+type pageData struct {
+	Status  *pb.StatusResponse
+	Lines   []tarragonwell.RuleLine
+	Records []tarragonwell.AuditRecord
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>tarragonwell {{.Status.Instance}}</title>
+<style>
+body { font: 14px sans-serif; margin: 2em; }
+table { border-collapse: collapse; }
+td, th { border: 1px solid #999; padding: 2px 8px; text-align: left; vertical-align: top; }
+code { white-space: pre-wrap; }
+</style></head><body>
+<h1>Instance {{.Status.Instance}}</h1>
+<p>State {{.Status.State}}, data centre {{.Status.DataCenter}},
+rules revision {{.Status.RulesRevision}}, digest {{.Status.RulesDigest}}.</p>
+{{if .Status.Refusal}}<p><strong>Revision {{.Status.RefusedRevision}} was refused:</strong> <code>{{.Status.Refusal}}</code></p>{{end}}
+<h2>Rules in force</h2>
+<table><tr><th>Line</th><th>Rule</th><th>Asked for by</th></tr>
+{{range .Lines}}<tr><td>{{.Number}}</td><td><code>{{.Text}}</code></td><td>{{.AskedBy}}</td></tr>
+{{end}}</table>
+<h2>Changes, latest first</h2>
+<table><tr><th>Time</th><th>Change</th><th>Revision</th><th>Asked for by</th><th>Learnt from</th><th>Detail</th></tr>
+{{range .Records}}<tr><td>{{.Time.UTC.Format "2006-01-02 15:04:05.000"}}</td><td>{{.Event}}</td><td>{{if .Revision}}{{.Revision}}{{end}}</td><td>{{.AskedBy}}</td><td>{{.LearntFrom}}</td><td><code>{{.Detail}}</code></td></tr>
+{{end}}</table>
+</body></html>
+`))
+
+// page shows whose wish is in force, fit to be printed.
+func (s *Server) page(w http.ResponseWriter, r *http.Request) {
+	records, err := s.trail.Records(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	data := pageData{
+		Status: s.source.Status(r.Context()),
+	}
+	if set := s.source.Rules(); set != nil {
+		data.Lines = set.Lines
+	}
+	for n := len(records) - 1; n >= 0 && len(data.Records) < pageRecords; n-- {
+		data.Records = append(data.Records, records[n])
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	_ = pageTemplate.Execute(w, data)
+}
+
+func digestText(v tarragonwell.RulesVersion) string {
+	return hex.EncodeToString(v.Digest)
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,159 @@
+// Package operator speaks to operators: health, metrics, a page and an
+// administration interface that only reads.
+package operator
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+
+	"github.com/tarragonwell/tarragonwell/internal/audit"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1/tarragonwellv1connect"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/rules"
+)
+
+// Source is what operators may read of an instance.
+type Source interface {
+	Status(ctx context.Context) *pb.StatusResponse
+	// Rules returns the rules in force, or nil.
+	Rules() *tarragonwell.RuleSet
+	// Ready reports whether the instance is to get calls.
+	Ready() bool
+}
+
+// Server answers operators.
+type Server struct {
+	metrics *metrics.Set
+	trail   *audit.Trail
+	source  Source
+}
+
+var _ tarragonwellv1connect.OperatorServiceHandler = (*Server)(nil)
+
+// NewServer returns a server.
+func NewServer(m *metrics.Set, t *audit.Trail, s Source) *Server {
+	return &Server{
+		metrics: m,
+		trail:   t,
+		source:  s,
+	}
+}
+
+// Handler returns the server's routes.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	prefix, handler := tarragonwellv1connect.NewOperatorServiceHandler(s)
+	r.PathPrefix(prefix).Handler(handler)
+	r.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", s.readiness).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", s.writeMetrics).Methods(http.MethodGet)
+	r.HandleFunc("/", s.page).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !s.source.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "not ready\n")
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	s.metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// Status reports on the instance.
+func (s *Server) Status(ctx context.Context, _ *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	return connect.NewResponse(s.source.Status(ctx)), nil
+}
+
+// Rules returns the rules file in force.
+func (s *Server) Rules(context.Context, *connect.Request[pb.RulesRequest]) (*connect.Response[pb.RulesResponse], error) {
+	set := s.source.Rules()
+	if set == nil {
+		return nil, connect.NewError(connect.CodeNotFound, nil)
+	}
+	return connect.NewResponse(&pb.RulesResponse{
+		Revision: set.Version.Revision,
+		Digest:   digestText(set.Version),
+		Content:  set.Content,
+	}), nil
+}
+
+// Explain returns the rules in force for a request.
+func (s *Server) Explain(_ context.Context, r *connect.Request[pb.ExplainRequest]) (*connect.Response[pb.ExplainResponse], error) {
+	set := s.source.Rules()
+	if set == nil {
+		return nil, connect.NewError(connect.CodeNotFound, nil)
+	}
+	return connect.NewResponse(Explain(set, r.Msg.GetMethod(), r.Msg.GetPath())), nil
+}
+
+// Explain makes the answer to a question for the rules of a request.
+func Explain(set *tarragonwell.RuleSet, method, path string) *pb.ExplainResponse {
+	lines := rules.Explain(set, method, path)
+	out := &pb.ExplainResponse{
+		Found:    len(lines) > 0,
+		Revision: set.Version.Revision,
+	}
+	for _, l := range lines {
+		out.Rules = append(out.Rules, &pb.RuleInForce{
+			Line:    uint32(l.Number),
+			Text:    l.Text,
+			AskedBy: l.AskedBy,
+		})
+	}
+	return out
+}
+
+// Audit sends the trail, and what comes after where it is followed.
+func (s *Server) Audit(ctx context.Context, r *connect.Request[pb.AuditRequest], stream *connect.ServerStream[pb.AuditResponse]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	kept, later, err := s.trail.Follow(ctx)
+	if err != nil {
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+	for _, x := range kept {
+		if err := stream.Send(auditMessage(x)); err != nil {
+			return err
+		}
+	}
+	if !r.Msg.GetFollow() {
+		return nil
+	}
+	for x := range later {
+		if err := stream.Send(auditMessage(x)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func auditMessage(r tarragonwell.AuditRecord) *pb.AuditResponse {
+	return &pb.AuditResponse{
+		Record: &pb.AuditRecord{
+			Sequence:   r.Sequence,
+			TimeUnixMs: r.Time.UnixMilli(),
+			Instance:   r.Instance,
+			Event:      r.Event,
+			Revision:   r.Revision,
+			AskedBy:    r.AskedBy,
+			LearntFrom: r.LearntFrom,
+			Detail:     r.Detail,
+		},
+	}
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/operations"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// MemberMessage turns a member into its message.
+func MemberMessage(m tarragonwell.Member) *pb.Member {
+	return &pb.Member{
+		PeerAddress:   m.PeerAddress,
+		DataCenter:    m.DataCenter,
+		Incarnation:   m.Incarnation[:],
+		StartedUnixMs: m.Started.UnixMilli(),
+		State:         pb.MemberState(m.State),
+		Heartbeat:     m.Heartbeat,
+	}
+}
+
+func memberOf(m *pb.Member) tarragonwell.Member {
+	return tarragonwell.Member{
+		PeerAddress: m.GetPeerAddress(),
+		DataCenter:  m.GetDataCenter(),
+		Incarnation: incarnationOf(m.GetIncarnation()),
+		Started:     time.UnixMilli(m.GetStartedUnixMs()),
+		State:       tarragonwell.MemberState(m.GetState()),
+		Heartbeat:   m.GetHeartbeat(),
+	}
+}
+
+func incarnationOf(b []byte) tarragonwell.Incarnation {
+	var i tarragonwell.Incarnation
+	copy(i[:], b)
+	return i
+}
+
+func versionMessage(v tarragonwell.RulesVersion) *pb.RulesVersion {
+	return &pb.RulesVersion{
+		Revision: v.Revision,
+		Digest:   v.Digest,
+	}
+}
+
+func versionOf(v *pb.RulesVersion) tarragonwell.RulesVersion {
+	return tarragonwell.RulesVersion{
+		Revision: v.GetRevision(),
+		Digest:   v.GetDigest(),
+	}
+}
+
+func holderMessage(h tarragonwell.Holder, now time.Time) *pb.Holder {
+	return &pb.Holder{
+		Incarnation: h.Incarnation[:],
+		PeerAddress: h.PeerAddress,
+		Generation:  h.Generation,
+		RemainingMs: millis(h.Until.Sub(now)),
+	}
+}
+
+func holderOf(h *pb.Holder, now time.Time) tarragonwell.Holder {
+	return tarragonwell.Holder{
+		Incarnation: incarnationOf(h.GetIncarnation()),
+		PeerAddress: h.GetPeerAddress(),
+		Generation:  h.GetGeneration(),
+		Until:       now.Add(duration(h.GetRemainingMs())),
+	}
+}
+
+// millis writes a duration, 0 for a negative one.
+func millis(d time.Duration) uint32 {
+	return uint32(max(0, min(d.Milliseconds(), 1<<31)))
+}
+
+func duration(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+func headerMessages(h map[string][]string) []*pb.HeaderField {
+	var out []*pb.HeaderField
+	for name, values := range h {
+		out = append(out, &pb.HeaderField{
+			Name:   name,
+			Values: values,
+		})
+	}
+	return out
+}
+
+func headerOf(fields []*pb.HeaderField) map[string][]string {
+	out := map[string][]string{}
+	for _, f := range fields {
+		out[f.GetName()] = f.GetValues()
+	}
+	return out
+}
+
+func operateMessage(o *tarragonwell.Operation) *pb.OperateRequest {
+	return &pb.OperateRequest{
+		Ticket:         operations.TicketMessage(o.Ticket),
+		Method:         o.Method,
+		Path:           o.Path,
+		Header:         headerMessages(o.Header),
+		Body:           o.Body,
+		DeadlineUnixMs: o.Deadline.UnixMilli(),
+		RetriesLeft:    uint32(o.RetriesLeft),
+		Verb:           pb.OperationVerb(o.Verb + 1),
+	}
+}
+
+func operationOf(m *pb.OperateRequest) (*tarragonwell.Operation, error) {
+	t, err := operations.TicketOf(m.GetTicket())
+	if err != nil {
+		return nil, err
+	}
+	verb := tarragonwell.OperationRun
+	if m.GetVerb() != pb.OperationVerb_OPERATION_VERB_UNSPECIFIED {
+		verb = tarragonwell.OperationVerb(m.GetVerb() - 1)
+	}
+	return &tarragonwell.Operation{
+		Ticket:      t,
+		Verb:        verb,
+		Method:      m.GetMethod(),
+		Path:        m.GetPath(),
+		Header:      headerOf(m.GetHeader()),
+		Body:        m.GetBody(),
+		Deadline:    time.UnixMilli(m.GetDeadlineUnixMs()),
+		RetriesLeft: int(m.GetRetriesLeft()),
+	}, nil
+}
+
+func resultMessage(r tarragonwell.ForwardReply) *pb.OperateResponse {
+	return &pb.OperateResponse{
+		Outcome:   pb.Outcome(r.Result.Outcome),
+		Status:    uint32(r.Result.Status),
+		Header:    headerMessages(r.Result.Header),
+		Body:      r.Result.Body,
+		Reason:    r.Result.Reason,
+		NotHolder: r.NotHolder,
+		Holder:    r.Holder,
+	}
+}
+
+func resultOf(m *pb.OperateResponse) tarragonwell.ForwardReply {
+	return tarragonwell.ForwardReply{
+		Result: tarragonwell.StoredResult{
+			Outcome: tarragonwell.Outcome(m.GetOutcome()),
+			Status:  int(m.GetStatus()),
+			Header:  headerOf(m.GetHeader()),
+			Body:    m.GetBody(),
+			Reason:  m.GetReason(),
+		},
+		NotHolder: m.GetNotHolder(),
+		Holder:    m.GetHolder(),
+	}
+}
+
+func handOverMessage(h tarragonwell.OperationHandOver, successor tarragonwell.Incarnation) *pb.HandOverRequest {
+	m := &pb.HandOverRequest{
+		Incarnation: h.Incarnation[:],
+		Key:         h.Key,
+		ClockMs:     uint64(h.Clock.Milliseconds()),
+		Generation:  h.Generation,
+		Successor:   successor[:],
+		Minted:      map[int64]uint32{},
+	}
+	for k, n := range h.Minted {
+		m.Minted[k] = uint32(n)
+	}
+	for _, e := range h.Entries {
+		m.Entries = append(m.Entries, &pb.OperationEntry{
+			Sequence:    e.Sequence,
+			ExpiryMs:    uint64(e.Expiry.Milliseconds()),
+			Fingerprint: e.Fingerprint,
+			Outcome:     pb.Outcome(e.Result.Outcome),
+			Status:      uint32(e.Result.Status),
+			Header:      headerMessages(e.Result.Header),
+			Body:        e.Result.Body,
+			Reason:      e.Result.Reason,
+		})
+	}
+	return m
+}
+
+func handOverOf(m *pb.HandOverRequest) tarragonwell.OperationHandOver {
+	h := tarragonwell.OperationHandOver{
+		Incarnation: incarnationOf(m.GetIncarnation()),
+		Key:         m.GetKey(),
+		Clock:       time.Duration(m.GetClockMs()) * time.Millisecond,
+		Generation:  m.GetGeneration(),
+		Minted:      map[int64]int{},
+	}
+	for k, n := range m.GetMinted() {
+		h.Minted[k] = int(n)
+	}
+	for _, e := range m.GetEntries() {
+		h.Entries = append(h.Entries, tarragonwell.OperationEntry{
+			Sequence:    e.GetSequence(),
+			Expiry:      time.Duration(e.GetExpiryMs()) * time.Millisecond,
+			Fingerprint: e.GetFingerprint(),
+			Result: tarragonwell.StoredResult{
+				Outcome: tarragonwell.Outcome(e.GetOutcome()),
+				Status:  int(e.GetStatus()),
+				Header:  headerOf(e.GetHeader()),
+				Body:    e.GetBody(),
+				Reason:  e.GetReason(),
+			},
+		})
+	}
+	return h
+}
--- /dev/null
+++ b/internal/peer/task.go
@@ -0,0 +1,355 @@
+// Package peer speaks to the other instances. One task owns the view of the
+// fleet and exchanges news with a few sampled peers in each round, so that its
+// cost does not grow with the fleet.
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/internal/task"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/membership"
+)
+
+const (
+	mailboxSize     = 1024
+	exchangeTimeout = 500 * time.Millisecond
+	// pushFanOut is the number of peers that news is passed on to at once.
+	pushFanOut = 3
+	// byteBudget is what exchanges may use, in bytes a second, both directions.
+	byteBudget = 5 << 10
+	byteBurst  = 20 << 10
+	// messageOverhead estimates what HTTP adds to a message, in bytes.
+	messageOverhead = 120
+	// maxHolders and maxLeaving bound the records in one message.
+	maxHolders = 16
+	maxLeaving = 16
+)
+
+// Options configures Peers.
+type Options struct {
+	Common *common.Common
+	// RulesNews is told that a peer has newer rules. It must not block.
+	RulesNews func(from string, v tarragonwell.RulesVersion)
+	// ListNews is told that a peer has a newer list. It must not block.
+	ListNews func(from string, revision uint64)
+	// TargetLeaving is told of a peer's word that a target leaves.
+	TargetLeaving func(service, address string, until time.Time, from string)
+}
+
+// Peers is the task that owns the view of the fleet. Make it with New and run
+// it.
+type Peers struct {
+	options  Options
+	mailbox  *task.Mailbox[any]
+	snapshot atomic.Pointer[Snapshot]
+	client   *http.Client
+	limiter  *rate.Limiter
+	skipped  func()
+}
+
+// Snapshot is what others may read of the view. It is immutable.
+type Snapshot struct {
+	// Alive lists the other instances heard of lately.
+	Alive   []tarragonwell.Member
+	known   map[string]bool
+	holders map[tarragonwell.Incarnation]string
+	// Contact is when the platform last answered anyone heard of; zero for never.
+	Contact time.Time
+	// Reader says that the instance watches the platform for others.
+	Reader bool
+	State  tarragonwell.MemberState
+}
+
+// state is owned by the task.
+type state struct {
+	view         membership.View
+	random       *rand.Rand
+	rules        tarragonwell.RulesVersion
+	listRevision uint64
+	contact      time.Time
+	listed       []string
+}
+
+// New returns peers that aren't running yet.
+func New(o Options) *Peers {
+	p := &Peers{
+		options: o,
+		mailbox: task.NewMailbox[any](mailboxSize),
+		client:  newClient(o.Common),
+		limiter: rate.NewLimiter(byteBudget, byteBurst),
+	}
+	p.skipped = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_rounds_skipped_total").Inc
+	p.snapshot.Store(&Snapshot{})
+	return p
+}
+
+// Snapshot returns the present view.
+func (p *Peers) Snapshot() *Snapshot {
+	return p.snapshot.Load()
+}
+
+// SetState changes the instance's own state and tells peers at once.
+func (p *Peers) SetState(s tarragonwell.MemberState) {
+	p.mailbox.Post(stateMessage{
+		state: s,
+	})
+}
+
+// SetVersions says what is in force; with push, peers are told at once.
+func (p *Peers) SetVersions(rules tarragonwell.RulesVersion, listRevision uint64, push bool) {
+	p.mailbox.Post(versionsNews{
+		rules:        rules,
+		listRevision: listRevision,
+		push:         push,
+	})
+}
+
+// SetListed replaces the addresses on the platform's list.
+func (p *Peers) SetListed(addresses []string) {
+	p.mailbox.Post(seedsNews{
+		addresses: addresses,
+	})
+}
+
+// Contact says that the platform has answered.
+func (p *Peers) Contact() {
+	p.mailbox.Post(contactNews{})
+}
+
+// TellHolder passes on where operations went.
+func (p *Peers) TellHolder(h tarragonwell.Holder) {
+	p.mailbox.Post(holderNews{
+		holder: h,
+	})
+}
+
+// TellLeaving passes on that a target said it leaves.
+func (p *Peers) TellLeaving(service, address string, until time.Time) {
+	p.mailbox.TryPost(leavingNews{
+		service: service,
+		address: address,
+		until:   until,
+	})
+}
+
+// Run owns the view until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	defer p.mailbox.Stop()
+	defer p.client.CloseIdleConnections()
+	var exchanges sync.WaitGroup
+	defer exchanges.Wait()
+	st := p.start()
+	interval := p.options.Common.Settings.ExchangeInterval
+	timer := time.NewTimer(rand.N(interval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.mailbox.Receive():
+			if p.handle(st, m) {
+				p.round(ctx, st, pushFanOut, &exchanges)
+			}
+		case <-timer.C:
+			st.view.Self.Heartbeat++
+			st.view.Expire(p.options.Common.Clock.Now())
+			p.round(ctx, st, p.options.Common.Settings.FanOut, &exchanges)
+			timer.Reset(interval*3/4 + rand.N(interval/2))
+		}
+		p.publish(st)
+	}
+}
+
+func (p *Peers) start() *state {
+	c := p.options.Common
+	st := &state{
+		random: common.NewRandom(),
+	}
+	st.view.Self = tarragonwell.Member{
+		PeerAddress: c.Settings.PeerAddress,
+		DataCenter:  c.Settings.DataCenter,
+		Incarnation: c.Incarnation,
+		Started:     c.Started,
+		State:       tarragonwell.MemberStarting,
+		Heartbeat:   1,
+	}
+	st.view.Seeds = c.Settings.Seeds
+	return st
+}
+
+// handle takes in a message and reports whether peers are to be told at once.
+func (p *Peers) handle(st *state, message any) bool {
+	now := p.options.Common.Clock.Now()
+	switch m := message.(type) {
+	case heardMessage:
+		push := p.hear(now, st, m.from, m.news)
+		if m.reply != nil {
+			m.reply <- p.news(now, st)
+		}
+		return push
+	case stateMessage:
+		st.view.Self.State = m.state
+		st.view.Self.Heartbeat++
+		return true
+	case versionsNews:
+		st.rules = m.rules
+		st.listRevision = m.listRevision
+		return m.push
+	case seedsNews:
+		st.view.Seeds = append(append([]string(nil), p.options.Common.Settings.Seeds...), m.addresses...)
+	case contactNews:
+		st.contact = now
+	case holderNews:
+		return st.view.MergeHolder(m.holder)
+	case leavingNews:
+		return st.view.MergeLeaving(leavingKey(m.service, m.address), m.until)
+	}
+	return false
+}
+
+func leavingKey(service, address string) membership.TargetKey {
+	return membership.TargetKey{
+		Service: service,
+		Address: address,
+	}
+}
+
+// hear takes in a peer's news and reports whether some of it is to be passed on
+// at once.
+func (p *Peers) hear(now time.Time, st *state, from string, n news) bool {
+	push := false
+	for _, m := range n.members {
+		member := memberOf(m)
+		if st.view.Merge(now, member) {
+			p.memberChanged(member, from)
+		}
+	}
+	for _, h := range n.holders {
+		push = st.view.MergeHolder(holderOf(h, now)) || push
+	}
+	for _, l := range n.leaving {
+		until := now.Add(duration(l.GetRemainingMs()))
+		if st.view.MergeLeaving(leavingKey(l.GetService(), l.GetAddress()), until) {
+			p.options.TargetLeaving(l.GetService(), l.GetAddress(), until, from)
+			push = true
+		}
+	}
+	contact := now.Add(-n.platformAge)
+	if len(n.members) > 0 && n.platformAge < neverAge && contact.After(st.contact) {
+		st.contact = contact
+	}
+	if v := versionOf(n.rules); v.After(st.rules) {
+		p.options.RulesNews(from, v)
+	}
+	if n.listRevision > st.listRevision {
+		p.options.ListNews(from, n.listRevision)
+	}
+	return push
+}
+
+// neverAge is told where the platform has never answered.
+const neverAge = 24 * time.Hour
+
+func (p *Peers) memberChanged(m tarragonwell.Member, from string) {
+	p.options.Common.Change(tarragonwell.AuditRecord{
+		Event:      "peer-" + m.State.String(),
+		LearntFrom: from,
+		Detail:     m.PeerAddress + " " + m.DataCenter,
+	})
+}
+
+// news is what a peer is told now.
+func (p *Peers) news(now time.Time, st *state) news {
+	n := news{
+		rules:        versionMessage(st.rules),
+		platformAge:  neverAge,
+		listRevision: st.listRevision,
+	}
+	if !st.contact.IsZero() {
+		n.platformAge = now.Sub(st.contact)
+	}
+	for _, m := range st.view.Sample(now, p.options.Common.Settings.Sample, st.random) {
+		n.members = append(n.members, MemberMessage(m))
+	}
+	for _, h := range st.view.Holders() {
+		if len(n.holders) < maxHolders {
+			n.holders = append(n.holders, holderMessage(h, now))
+		}
+	}
+	for k, until := range st.view.Leaving() {
+		if len(n.leaving) < maxLeaving && until.After(now) {
+			n.leaving = append(n.leaving, &pb.LeavingTarget{
+				Service:     k.Service,
+				Address:     k.Address,
+				RemainingMs: millis(until.Sub(now)),
+			})
+		}
+	}
+	return n
+}
+
+// round exchanges news with a few peers, within the byte budget.
+func (p *Peers) round(ctx context.Context, st *state, fanOut int, exchanges *sync.WaitGroup) {
+	now := p.options.Common.Clock.Now()
+	request := p.news(now, st).request()
+	size := 2 * (proto.Size(request) + messageOverhead)
+	for _, m := range st.view.Pick(now, fanOut, st.random) {
+		if !p.limiter.AllowN(now, size) {
+			p.skipped()
+			return
+		}
+		exchanges.Go(func() {
+			p.exchange(ctx, m.PeerAddress, request)
+		})
+	}
+}
+
+// exchange tells a peer the news and takes in the peer's. It returns nil where
+// the peer does not answer.
+func (p *Peers) exchange(ctx context.Context, address string, request *pb.ExchangeRequest) *pb.ExchangeResponse {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	response, err := p.Exchange(ctx, address, request)
+	if err != nil {
+		p.options.Common.Log.Debug("exchange failed", "peer", address, "error", err)
+		return nil
+	}
+	_ = p.mailbox.Send(ctx, heardMessage{
+		from: address,
+		news: newsOf(response),
+	})
+	return response
+}
+
+func (p *Peers) publish(st *state) {
+	now := p.options.Common.Clock.Now()
+	s := &Snapshot{
+		Alive:   st.view.Alive(now),
+		known:   map[string]bool{},
+		holders: map[tarragonwell.Incarnation]string{},
+		Contact: st.contact,
+		Reader:  st.view.IsReader(now, p.options.Common.Settings.Readers),
+		State:   st.view.Self.State,
+	}
+	for _, m := range st.view.All() {
+		s.known[m.PeerAddress] = true
+	}
+	for _, a := range st.view.Seeds {
+		s.known[a] = true
+	}
+	for _, h := range st.view.Holders() {
+		s.holders[h.Incarnation] = h.PeerAddress
+	}
+	p.snapshot.Store(s)
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,100 @@
+// Package platform reads what operators publish: the rules file and the
+// lagging list of instances. It writes nothing.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+var _ tarragonwell.Platform = (*Client)(nil)
+
+const (
+	rulesPath     = "/v1/rules"
+	instancesPath = "/v1/instances"
+	// answerSlack is how much longer than a watch's wait an answer may take.
+	answerSlack = 2 * time.Second
+	maxAnswer   = 4 << 20
+)
+
+// ErrPlatform is the root of the errors of the platform.
+var ErrPlatform = eris.New("the platform failed")
+
+// Client reads the platform's HTTP interface. The zero value needs an Address.
+type Client struct {
+	// Address is ip:port.
+	Address string
+	// HTTP is nil for the default client.
+	HTTP *http.Client
+}
+
+// WatchRules implements tarragonwell.Platform.
+func (c *Client) WatchRules(ctx context.Context, after uint64, wait time.Duration) (*tarragonwell.PublishedRules, error) {
+	var m pb.PublishedRules
+	found, err := c.watch(ctx, rulesPath, after, wait, &m)
+	if !found {
+		return nil, err
+	}
+	return &tarragonwell.PublishedRules{
+		Revision: m.GetRevision(),
+		Content:  m.GetContent(),
+	}, nil
+}
+
+// WatchInstances implements tarragonwell.Platform.
+func (c *Client) WatchInstances(ctx context.Context, after uint64, wait time.Duration) (*tarragonwell.InstanceList, error) {
+	var m pb.InstanceList
+	found, err := c.watch(ctx, instancesPath, after, wait, &m)
+	if !found {
+		return nil, err
+	}
+	return ListOf(&m), nil
+}
+
+// watch makes one call, which counts as one read however long it waits.
+func (c *Client) watch(ctx context.Context, path string, after uint64, wait time.Duration, m proto.Message) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	url := fmt.Sprintf("http://%s%s?after=%d&wait=%s", c.Address, path, after, wait)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false, eris.Wrap(ErrPlatform, err.Error())
+	}
+	response, err := c.client().Do(request)
+	if err != nil {
+		return false, eris.Wrap(ErrPlatform, err.Error())
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusNotModified, http.StatusNoContent:
+		return false, nil
+	case http.StatusOK:
+	default:
+		return false, eris.Wrap(ErrPlatform, response.Status)
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return false, eris.Wrap(ErrPlatform, err.Error())
+	}
+	if err := protojson.Unmarshal(content, m); err != nil {
+		return false, eris.Wrap(ErrPlatform, err.Error())
+	}
+	return true, nil
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
--- /dev/null
+++ b/internal/service/acquire.go
@@ -0,0 +1,89 @@
+package service
+
+import (
+	"context"
+
+	"github.com/tarragonwell/tarragonwell/internal/target"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+// lease is the right to one attempt at a target. It must be released once.
+type lease struct {
+	service *Service
+	grant   *scheduling.Grant
+	target  *target.Target
+}
+
+// acquire asks the task for a target. Exactly one of the results is set.
+func (s *Service) acquire(ctx context.Context, r scheduling.Request) (*lease, *scheduling.Refusal) {
+	r.ID = s.nextID.Add(1)
+	reply := make(chan decision, 1)
+	message := acquireMessage{
+		request: r,
+		reply:   reply,
+	}
+	if err := s.mailbox.Send(ctx, message); err != nil {
+		return nil, refusalFor(ctx)
+	}
+	select {
+	case d := <-reply:
+		return s.lease(d)
+	case <-s.mailbox.Stopped():
+		return nil, refusalFor(ctx)
+	case <-ctx.Done():
+		s.abandon(reply, r)
+		return nil, refusalFor(ctx)
+	}
+}
+
+// abandon gives up a request and gives back a grant that crossed it.
+func (s *Service) abandon(reply <-chan decision, r scheduling.Request) {
+	done := make(chan struct{}, 1)
+	s.mailbox.Post(abandonMessage{
+		id:    r.ID,
+		reply: done,
+	})
+	select {
+	case <-done:
+	case <-s.mailbox.Stopped():
+	}
+	select {
+	case d := <-reply:
+		if l, _ := s.lease(d); l != nil {
+			l.release(scheduling.Release{
+				Kind: r.Kind,
+				End:  scheduling.EndCancelled,
+			})
+		}
+	default:
+	}
+}
+
+func (s *Service) lease(d decision) (*lease, *scheduling.Refusal) {
+	if d.Grant == nil {
+		return nil, d.Refusal
+	}
+	return &lease{
+		service: s,
+		grant:   d.Grant,
+		target:  d.handle,
+	}, nil
+}
+
+func refusalFor(ctx context.Context) *scheduling.Refusal {
+	if ctx.Err() != nil {
+		return &scheduling.Refusal{
+			Reason: scheduling.ReasonDeadline,
+		}
+	}
+	return &scheduling.Refusal{
+		Reason: ErrStopped.Error(),
+	}
+}
+
+func (l *lease) release(r scheduling.Release) {
+	r.Target = l.grant.Target
+	l.service.mailbox.Post(releaseMessage{
+		release: r,
+	})
+}
--- /dev/null
+++ b/internal/service/dispatch.go
@@ -0,0 +1,202 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/control"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+// maxAttempts bounds the attempts of one call on this instance, those included
+// that targets refused.
+const maxAttempts = 4
+
+// dispatch is one call on its way. One goroutine owns it.
+type dispatch struct {
+	service *Service
+	call    *tarragonwell.Call
+	// tried lists the targets of the attempts so far.
+	tried    []string
+	attempts int
+	// mayHaveRun is set once an attempt could have reached a target that did
+	// not say that it refused.
+	mayHaveRun bool
+	// repeated is set once the call's own retry is used.
+	repeated bool
+	// fallback is a server error that is told where nothing better comes.
+	fallback *tarragonwell.Answer
+}
+
+// Dispatch implements tarragonwell.Dispatcher. The answer's body must be closed.
+func (s *Service) Dispatch(ctx context.Context, c *tarragonwell.Call) tarragonwell.Result {
+	d := &dispatch{
+		service: s,
+		call:    c,
+	}
+	for {
+		result, done := d.once(ctx)
+		if done {
+			return result
+		}
+	}
+}
+
+// once makes one attempt and reports whether the call has ended.
+func (d *dispatch) once(ctx context.Context) (tarragonwell.Result, bool) {
+	waiting, cancel := context.WithDeadline(ctx, d.call.Deadline)
+	l, refusal := d.service.acquire(waiting, d.request())
+	cancel()
+	if refusal != nil {
+		d.service.metrics.refused.Inc()
+		return d.refused(refusal), true
+	}
+	d.attempts++
+	d.tried = append(d.tried, l.grant.Target)
+	answer, err := d.run(ctx, l)
+	if err != nil {
+		d.note(err)
+		if d.mayGoOn(ctx, err) {
+			d.service.metrics.retries.Inc()
+			return tarragonwell.Result{}, false
+		}
+		return d.failed(err.Reason), true
+	}
+	if retryableStatus(answer.Status) && d.mayRepeat(ctx) {
+		d.repeated = true
+		d.keepFallback(answer)
+		d.service.metrics.retries.Inc()
+		return tarragonwell.Result{}, false
+	}
+	return d.complete(answer), true
+}
+
+func (d *dispatch) request() scheduling.Request {
+	return scheduling.Request{
+		Kind:     d.call.Route.Kind,
+		Deadline: d.call.Deadline,
+		Exclude:  d.tried,
+		Retry:    d.attempts > 0,
+	}
+}
+
+// note remembers what a failed attempt means for the outcome.
+func (d *dispatch) note(e *tarragonwell.ExchangeError) {
+	switch e.Stage {
+	case tarragonwell.StageSent:
+		d.mayHaveRun = true
+	case tarragonwell.StageRefused:
+		d.service.metrics.sheds.Inc()
+	case tarragonwell.StageNotSent:
+	}
+}
+
+// mayGoOn decides whether a failed attempt is followed by another. What may
+// have run is sent again only where it may repeat.
+func (d *dispatch) mayGoOn(ctx context.Context, e *tarragonwell.ExchangeError) bool {
+	if d.attempts >= maxAttempts || ctx.Err() != nil || !d.timeLeft() {
+		return false
+	}
+	if e.Stage != tarragonwell.StageSent {
+		return true
+	}
+	if !d.mayRepeat(ctx) {
+		return false
+	}
+	d.repeated = true
+	return true
+}
+
+// mayRepeat reports whether the call may be sent again though it may have run.
+func (d *dispatch) mayRepeat(ctx context.Context) bool {
+	repeatable := d.call.Route.Kind.Repeatable || !control.Holds(control.SingleSend)
+	return repeatable && !d.repeated && d.call.RetriesLeft > 0 && d.attempts < maxAttempts &&
+		ctx.Err() == nil && d.timeLeft()
+}
+
+func (d *dispatch) timeLeft() bool {
+	return d.service.options.Common.Clock.Now().Before(d.call.Deadline)
+}
+
+// retriesLeft is what the next attempt may pass on: of r retries the call keeps
+// one for itself, and its retry passes on none. So the attempts at any depth
+// below are at most r+1.
+func (d *dispatch) retriesLeft() int {
+	if !d.call.Route.Kind.Repeatable {
+		return d.call.RetriesLeft
+	}
+	if d.repeated {
+		return 0
+	}
+	return max(0, d.call.RetriesLeft-1)
+}
+
+func (d *dispatch) keepFallback(a *tarragonwell.Answer) {
+	if d.fallback != nil {
+		_ = d.fallback.Body.Close()
+	}
+	d.fallback = a
+}
+
+// complete ends the call with a target's answer. A server error to a call that
+// must not repeat leaves open whether it ran.
+func (d *dispatch) complete(a *tarragonwell.Answer) tarragonwell.Result {
+	if d.fallback != nil && d.fallback != a {
+		_ = d.fallback.Body.Close()
+	}
+	r := tarragonwell.Result{
+		Outcome: tarragonwell.OutcomeComplete,
+		Answer:  a,
+	}
+	if a.Status >= http.StatusInternalServerError && !d.call.Route.Kind.Repeatable {
+		r.Outcome = tarragonwell.OutcomeUnknown
+		r.Reason = "the target answered " + strconv.Itoa(a.Status)
+	}
+	return r
+}
+
+func (d *dispatch) refused(r *scheduling.Refusal) tarragonwell.Result {
+	out := d.failed(r.Reason)
+	out.RetryAfter = r.RetryAfter
+	return out
+}
+
+// failed ends the call without a good answer.
+func (d *dispatch) failed(reason string) tarragonwell.Result {
+	if d.fallback != nil {
+		return d.complete(d.fallback)
+	}
+	outcome := tarragonwell.OutcomeNotRun
+	if d.mayHaveRun && control.Holds(control.TruthfulNotRun) {
+		outcome = tarragonwell.OutcomeUnknown
+	}
+	return tarragonwell.Result{
+		Outcome: outcome,
+		Reason:  reason,
+	}
+}
+
+// run makes one attempt, with a second beside it where the kind is hedged.
+func (d *dispatch) run(ctx context.Context, l *lease) (*tarragonwell.Answer, *tarragonwell.ExchangeError) {
+	if d.call.Route.Kind.Hedge && l.grant.HedgeAfter > 0 && d.attempts == 1 && d.call.RetriesLeft > 0 {
+		return d.race(ctx, l)
+	}
+	return d.attempt(ctx, l, d.attempts, d.retriesLeft())
+}
+
+func retryableStatus(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+// since is the time from begin to now.
+func (s *Service) since(begin time.Time) time.Duration {
+	return s.options.Common.Clock.Now().Sub(begin)
+}
--- /dev/null
+++ b/internal/service/messages.go
@@ -0,0 +1,68 @@
+package service
+
+import (
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/target"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+// acquireMessage asks for a target; the reply has room for one decision.
+type acquireMessage struct {
+	request scheduling.Request
+	reply   chan<- decision
+}
+
+// decision answers an acquireMessage. The handle is set with a grant.
+type decision struct {
+	scheduling.Decision
+	handle *target.Target
+}
+
+// abandonMessage gives up a call that may be waiting or may have been granted.
+type abandonMessage struct {
+	id    uint64
+	reply chan<- struct{}
+}
+
+// releaseMessage gives a grant back.
+type releaseMessage struct {
+	release scheduling.Release
+}
+
+// targetsMessage takes in the platform's list.
+type targetsMessage struct {
+	targets []tarragonwell.ListedTarget
+}
+
+// configureMessage takes in a changed rule or count of instances.
+type configureMessage struct {
+	service   *tarragonwell.Service
+	instances int
+}
+
+// leavingMessage takes in a peer's word that a target leaves.
+type leavingMessage struct {
+	address string
+	until   time.Time
+	from    string
+}
+
+// statusMessage asks for a report.
+type statusMessage struct {
+	reply chan<- Status
+}
+
+// Status is a report on one service.
+type Status struct {
+	Name     string
+	Policy   string
+	InFlight int
+	Waiting  int
+	Limit    float64
+	// Targets are copies.
+	Targets []tarragonwell.TargetState
+	// Now is when the report was made.
+	Now time.Time
+}
--- /dev/null
+++ b/internal/service/task.go
@@ -0,0 +1,348 @@
+// Package service speaks to one service through its targets. One task per
+// service owns the scheduler and the targets' tasks; callers' goroutines carry
+// the calls themselves.
+package service
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/internal/control"
+	"github.com/tarragonwell/tarragonwell/internal/target"
+	"github.com/tarragonwell/tarragonwell/internal/task"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/policy"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+const (
+	mailboxSize = 4096
+	// pollInterval is how often waiting calls are looked at while there are any
+	// and nothing else happens.
+	pollInterval = 2 * time.Millisecond
+	// leavingBelieved is how long a word that a target leaves holds without the
+	// platform's confirmation.
+	leavingBelieved = 30 * time.Second
+)
+
+// ErrStopped means that the service is no longer in the rules.
+var ErrStopped = eris.New("the service has stopped")
+
+// Options configures a Service.
+type Options struct {
+	Common *common.Common
+	Rule   *tarragonwell.Service
+	// Instances is the highest known number of instances in the fleet.
+	Instances int
+	// Targets is the platform's list at the start.
+	Targets []tarragonwell.ListedTarget
+	// TellLeaving passes on that a target said it leaves; it must not block.
+	TellLeaving func(service, address string, until time.Time)
+}
+
+// Service is the task of one service. Make it with New and run it.
+type Service struct {
+	options Options
+	mailbox *task.Mailbox[any]
+	// nextID numbers the requests for targets.
+	nextID  atomic.Uint64
+	metrics metricSet
+}
+
+// state is owned by the task.
+type state struct {
+	rule      *tarragonwell.Service
+	instances int
+	// policy names the chooser in use.
+	policy    string
+	scheduler *scheduling.Scheduler
+	prober    tarragonwell.Prober
+	handles   map[string]*handle
+	waiting   map[uint64]chan<- decision
+}
+
+// handle is a running target task.
+type handle struct {
+	target *target.Target
+	stop   context.CancelFunc
+}
+
+// New returns a service that isn't running yet.
+func New(o Options) *Service {
+	return &Service{
+		options: o,
+		mailbox: task.NewMailbox[any](mailboxSize),
+		metrics: newMetricSet(o.Common.Metrics, o.Rule.Name),
+	}
+}
+
+// SetTargets takes in the platform's list of the service's targets.
+func (s *Service) SetTargets(list []tarragonwell.ListedTarget) {
+	s.mailbox.Post(targetsMessage{
+		targets: list,
+	})
+}
+
+// Configure takes in a changed rule and the count of instances.
+func (s *Service) Configure(rule *tarragonwell.Service, instances int) {
+	s.mailbox.Post(configureMessage{
+		service:   rule,
+		instances: instances,
+	})
+}
+
+// MarkLeaving takes in a peer's word that a target leaves.
+func (s *Service) MarkLeaving(address string, until time.Time, from string) {
+	s.mailbox.Post(leavingMessage{
+		address: address,
+		until:   until,
+		from:    from,
+	})
+}
+
+// Status reports on the service.
+func (s *Service) Status(ctx context.Context) (Status, error) {
+	return task.Ask(ctx, s.mailbox, func(reply chan<- Status) any {
+		return statusMessage{
+			reply: reply,
+		}
+	})
+}
+
+// Run owns the scheduler and the targets until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var targets sync.WaitGroup
+	st := s.start()
+	defer s.mailbox.Stop()
+	defer targets.Wait()
+	s.setTargets(ctx, st, &targets, s.options.Targets)
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.mailbox.Receive():
+			s.handle(ctx, st, &targets, m)
+			if st.scheduler.Waiting() > 0 {
+				s.poll(st)
+				timer.Reset(pollInterval)
+			}
+		case <-timer.C:
+			s.poll(st)
+			if st.scheduler.Waiting() > 0 {
+				timer.Reset(pollInterval)
+			}
+		}
+	}
+}
+
+func (s *Service) start() *state {
+	st := &state{
+		rule:      s.options.Rule,
+		policy:    s.options.Rule.Policy,
+		instances: s.options.Instances,
+		handles:   map[string]*handle{},
+		waiting:   map[uint64]chan<- decision{},
+	}
+	chooser := policy.New(st.rule.Policy, common.NewRandom())
+	st.prober, _ = chooser.(tarragonwell.Prober)
+	st.scheduler = scheduling.New(scheduling.Options{
+		Service:    st.rule,
+		DataCenter: s.options.Common.Settings.DataCenter,
+		Chooser:    chooser,
+		Instances:  st.instances,
+	})
+	return st
+}
+
+func (s *Service) handle(ctx context.Context, st *state, targets *sync.WaitGroup, message any) {
+	now := s.options.Common.Clock.Now()
+	switch m := message.(type) {
+	case acquireMessage:
+		s.acquired(now, st, m)
+	case abandonMessage:
+		st.scheduler.Abandon(m.id)
+		delete(st.waiting, m.id)
+		m.reply <- struct{}{}
+	case releaseMessage:
+		st.scheduler.Release(now, m.release)
+		if m.release.Leaving {
+			s.leaving(now, st, m.release.Target, now.Add(leavingBelieved), m.release.Target)
+		}
+	case target.ProbeReport:
+		s.probed(now, st, m)
+	case targetsMessage:
+		s.setTargets(ctx, st, targets, m.targets)
+	case configureMessage:
+		s.configure(st, m)
+	case leavingMessage:
+		s.leaving(now, st, m.address, m.until, m.from)
+	case statusMessage:
+		m.reply <- s.status(now, st)
+	}
+}
+
+func (s *Service) acquired(now time.Time, st *state, m acquireMessage) {
+	d := st.scheduler.Acquire(now, m.request)
+	if st.prober != nil {
+		s.sendProbes(now, st)
+	}
+	if d.Grant == nil && d.Refusal == nil {
+		st.waiting[m.request.ID] = m.reply
+		return
+	}
+	m.reply <- st.decide(d)
+}
+
+// decide adds the target's handle to a grant.
+func (st *state) decide(d scheduling.Decision) decision {
+	out := decision{
+		Decision: d,
+	}
+	if d.Grant != nil {
+		out.handle = st.handles[d.Grant.Target].target
+	}
+	return out
+}
+
+// poll answers the waiting calls whose turn or end has come.
+func (s *Service) poll(st *state) {
+	for _, d := range st.scheduler.Poll(s.options.Common.Clock.Now()) {
+		id := uint64(0)
+		if d.Grant != nil {
+			id = d.Grant.ID
+		} else {
+			id = d.Refusal.ID
+		}
+		if reply, ok := st.waiting[id]; ok {
+			delete(st.waiting, id)
+			reply <- st.decide(d)
+		}
+	}
+}
+
+func (s *Service) sendProbes(now time.Time, st *state) {
+	states := st.scheduler.Targets()
+	if len(states) == 0 {
+		return
+	}
+	for _, i := range st.prober.ProbeTargets(now, states) {
+		st.handles[states[i].Address].target.Probe()
+	}
+}
+
+func (s *Service) probed(now time.Time, st *state, r target.ProbeReport) {
+	st.scheduler.CountProbe(r.Address)
+	s.metrics.probes.Inc()
+	if r.Err != nil {
+		s.options.Common.Log.Debug("probe failed", "service", st.rule.Name, "target", r.Address, "error", r.Err)
+		return
+	}
+	st.scheduler.TakeLoad(now, r.Address, r.Load)
+	if st.prober != nil {
+		st.prober.TakeProbe(now, r.Address, r.Load, r.Latency)
+	}
+	if r.Leaving && control.Holds(control.LeavingWord) {
+		s.leaving(now, st, r.Address, now.Add(leavingBelieved), r.Address)
+	}
+}
+
+// leaving marks a target. A target's own word is passed on to the peers.
+func (s *Service) leaving(now time.Time, st *state, address string, until time.Time, from string) {
+	if !st.scheduler.MarkLeaving(now, address, until) {
+		return
+	}
+	s.change("target-leaving", address, from)
+	if from == address && s.options.TellLeaving != nil {
+		s.options.TellLeaving(st.rule.Name, address, until)
+	}
+}
+
+func (s *Service) setTargets(ctx context.Context, st *state, targets *sync.WaitGroup, list []tarragonwell.ListedTarget) {
+	joined, left := st.scheduler.SetTargets(s.options.Common.Clock.Now(), list)
+	for _, a := range left {
+		st.handles[a].stop()
+		delete(st.handles, a)
+		s.change("target-left", a, "platform")
+	}
+	for _, a := range joined {
+		st.handles[a] = s.startTarget(ctx, st, targets, a)
+		s.change("target-joined", a, "platform")
+	}
+}
+
+func (s *Service) startTarget(ctx context.Context, st *state, targets *sync.WaitGroup, address string) *handle {
+	ctx, stop := context.WithCancel(ctx)
+	t := target.New(target.Options{
+		Common:        s.options.Common,
+		Address:       address,
+		Connections:   st.rule.Connections / max(1, st.instances),
+		ProbeInterval: st.probeInterval(),
+		Report: func(r target.ProbeReport) {
+			_ = s.mailbox.Send(ctx, r)
+		},
+	})
+	targets.Go(func() {
+		t.Run(ctx)
+	})
+	return &handle{
+		target: t,
+		stop:   stop,
+	}
+}
+
+func (st *state) probeInterval() time.Duration {
+	if !control.Holds(control.ProbeBudget) {
+		return admission.ProbeInterval(st.rule.ProbeBudget, 1, 0, 0)
+	}
+	return admission.ProbeInterval(st.rule.ProbeBudget, st.instances, 0, 0)
+}
+
+func (s *Service) configure(st *state, m configureMessage) {
+	st.rule = m.service
+	st.instances = m.instances
+	o := scheduling.Options{
+		Service:    m.service,
+		DataCenter: s.options.Common.Settings.DataCenter,
+		Instances:  m.instances,
+	}
+	if m.service.Policy != st.policy {
+		o.Chooser = policy.New(m.service.Policy, common.NewRandom())
+		st.prober, _ = o.Chooser.(tarragonwell.Prober)
+		st.policy = m.service.Policy
+	}
+	st.scheduler.Configure(o)
+	for _, h := range st.handles {
+		h.target.Configure(st.probeInterval())
+	}
+}
+
+func (s *Service) status(now time.Time, st *state) Status {
+	out := Status{
+		Name:     st.rule.Name,
+		Policy:   st.rule.Policy,
+		InFlight: st.scheduler.InFlight(),
+		Waiting:  st.scheduler.Waiting(),
+		Limit:    st.scheduler.Limit(),
+		Now:      now,
+	}
+	for _, t := range st.scheduler.Targets() {
+		out.Targets = append(out.Targets, *t)
+	}
+	return out
+}
+
+func (s *Service) change(event, address, from string) {
+	s.options.Common.Change(tarragonwell.AuditRecord{
+		Event:      event,
+		LearntFrom: from,
+		Detail:     s.options.Rule.Name + " " + address,
+	})
+}
--- /dev/null
+++ b/internal/target/exchange.go
@@ -0,0 +1,176 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+
+	"github.com/tarragonwell/tarragonwell/internal/control"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// Exchange implements tarragonwell.Exchanger.
+func (t *Target) Exchange(ctx context.Context, c *tarragonwell.Call) (*tarragonwell.Answer, error) {
+	var w writeWatch
+	request, err := t.request(w.trace(ctx, c), c)
+	if err != nil {
+		return nil, &tarragonwell.ExchangeError{
+			Stage:  tarragonwell.StageNotSent,
+			Reason: "the request can't be sent on",
+			Err:    err,
+		}
+	}
+	response, err := t.transport.RoundTrip(request)
+	if err != nil {
+		return nil, w.failure(err)
+	}
+	return t.answer(response, c)
+}
+
+// writeWatch finds out whether a byte of a call could have reached the target.
+type writeWatch struct {
+	conn *trackedConn
+	// before is the count of writes when the call got its connection.
+	before uint64
+	// earlier says that an attempt on a former connection was written.
+	earlier bool
+}
+
+func (w *writeWatch) trace(ctx context.Context, c *tarragonwell.Call) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			w.earlier = w.written()
+			w.conn, _ = info.Conn.(*trackedConn)
+			if w.conn != nil {
+				w.before = w.conn.arm(c.Deadline)
+			}
+		},
+	})
+}
+
+func (w *writeWatch) written() bool {
+	return w.earlier || (w.conn != nil && w.conn.writes.Load() != w.before)
+}
+
+func (w *writeWatch) failure(err error) *tarragonwell.ExchangeError {
+	e := &tarragonwell.ExchangeError{
+		Stage:  tarragonwell.StageSent,
+		Reason: "the target broke off",
+		Err:    err,
+	}
+	switch {
+	case errors.Is(err, errTooLate):
+		e.Reason = "the deadline passed before the call was sent"
+	case errors.Is(err, context.DeadlineExceeded):
+		e.Reason = "the target did not answer in time"
+	case errors.Is(err, context.Canceled):
+		e.Reason = "the caller left"
+	}
+	if !w.written() {
+		e.Stage = tarragonwell.StageNotSent
+		var netErr *net.OpError
+		if errors.As(err, &netErr) && netErr.Op == "dial" {
+			e.Reason = "the target can't be reached"
+		}
+	}
+	return e
+}
+
+func (t *Target) request(ctx context.Context, c *tarragonwell.Call) (*http.Request, error) {
+	u, err := url.ParseRequestURI(c.Path)
+	if err != nil {
+		return nil, err
+	}
+	u.Scheme = "http"
+	u.Host = t.options.Address
+	r := &http.Request{
+		Method:     c.Method,
+		URL:        u,
+		Host:       u.Host,
+		Header:     PassedOn(c.Header),
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+	r = r.WithContext(ctx)
+	if v := r.Header.Get("Host"); v != "" {
+		r.Host = v
+		r.Header.Del("Host")
+	}
+	r.Header.Set(HeaderRequestID, c.ID)
+	if !c.Route.Kind.Long {
+		r.Header.Set(HeaderDeadline, strconv.FormatInt(c.Deadline.UnixMilli(), 10))
+	}
+	r.Header.Set(HeaderRetriesLeft, strconv.Itoa(c.RetriesLeft))
+	if c.Operation != "" {
+		r.Header.Set(HeaderOperation, c.Operation)
+	}
+	if c.Route.Kind.Repeatable || !control.Holds(control.SingleSend) {
+		setBody(r, c.Body)
+		return r, nil
+	}
+	setSingleBody(r, c.Body)
+	return r, nil
+}
+
+// setBody gives a request that may repeat a body that can be had again.
+func setBody(r *http.Request, body []byte) {
+	if len(body) == 0 {
+		return
+	}
+	r.ContentLength = int64(len(body))
+	r.GetBody = func() (io.ReadCloser, error) {
+		return io.NopCloser(bytes.NewReader(body)), nil
+	}
+	r.Body, _ = r.GetBody()
+}
+
+// setSingleBody keeps the transport from sending a request twice: the body
+// can't be had again, not even where it is empty, and no header invites it.
+func setSingleBody(r *http.Request, body []byte) {
+	for _, name := range keys {
+		r.Header.Del(name)
+	}
+	r.ContentLength = int64(len(body))
+	r.Body = io.NopCloser(bytes.NewReader(body))
+}
+
+// answer checks what a target answered.
+func (t *Target) answer(r *http.Response, c *tarragonwell.Call) (*tarragonwell.Answer, error) {
+	load := parseLoad(r.Header.Get(HeaderLoad))
+	leaving := r.Header.Get(HeaderState) == stateDraining && control.Holds(control.LeavingWord)
+	if echo := r.Header.Get(HeaderRequestID); echo != "" && echo != c.ID && control.Holds(control.AnswerIdentity) {
+		_ = r.Body.Close()
+		t.transport.CloseIdleConnections()
+		return nil, &tarragonwell.ExchangeError{
+			Stage:   tarragonwell.StageSent,
+			Reason:  "the target answered another request",
+			Load:    load,
+			Leaving: leaving,
+		}
+	}
+	if why := r.Header.Get(HeaderNotRun); why != "" {
+		_ = r.Body.Close()
+		return nil, &tarragonwell.ExchangeError{
+			Stage:   tarragonwell.StageRefused,
+			Reason:  "the target refused: " + why,
+			Load:    load,
+			Leaving: leaving || (why == stateDraining && control.Holds(control.LeavingWord)),
+		}
+	}
+	return &tarragonwell.Answer{
+		Status:  r.StatusCode,
+		Header:  PassedOn(r.Header),
+		Body:    r.Body,
+		Length:  r.ContentLength,
+		Load:    load,
+		Leaving: leaving,
+		Target:  t.options.Address,
+	}, nil
+}
--- /dev/null
+++ b/internal/target/headers.go
@@ -0,0 +1,80 @@
+package target
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// Headers spoken with targets.
+const (
+	// HeaderRequestID is echoed by the target.
+	HeaderRequestID = "Tarragonwell-Request-Id"
+	// HeaderDeadline is absolute, in milliseconds since 1970.
+	HeaderDeadline = "Tarragonwell-Deadline"
+	// HeaderRetriesLeft bounds the further attempts below this call.
+	HeaderRetriesLeft = "Tarragonwell-Retries-Left"
+	// HeaderOperation names the operation for the target's own records.
+	HeaderOperation = "Tarragonwell-Operation"
+	// HeaderNotRun is the target's word that it did not run the call.
+	HeaderNotRun = "Target-Not-Run"
+	// HeaderLoad is the target's report, as "running=3, waiting=1, slots=5".
+	HeaderLoad = "Target-Load"
+	// HeaderState is "draining" on answers of a target that takes no new work.
+	HeaderState = "Target-State"
+
+	stateDraining = "draining"
+)
+
+// hopByHop headers belong to one connection and are never passed on.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// keys make the transport repeat a request by itself when a reused connection
+// breaks, so they are taken off what must not repeat.
+var keys = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// PassedOn copies the headers that may be passed on to the next hop.
+func PassedOn(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, v := range out.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// parseLoad reads a target's report; nil where there is none.
+func parseLoad(text string) *tarragonwell.LoadReport {
+	if text == "" {
+		return nil
+	}
+	var l tarragonwell.LoadReport
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 0 {
+			return nil
+		}
+		switch name {
+		case "running":
+			l.Running = n
+		case "waiting":
+			l.Waiting = n
+		case "slots":
+			l.Slots = n
+		}
+	}
+	return &l
+}
--- /dev/null
+++ b/pkg/settingsfile/settings.go
@@ -0,0 +1,156 @@
+// Package settingsfile reads the settings of one instance from YAML.
+package settingsfile
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/tarragonwell/tarragonwell/internal/yamldoc"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+)
+
+// Settings is a checked settings file with its defaults filled in.
+type Settings struct {
+	Name       string
+	DataCenter string
+	Callers    string
+	Peers      string
+	// PeerAddress is what other instances use; it is Peers unless set.
+	PeerAddress      string
+	Operators        string
+	Platform         string
+	WatchWait        time.Duration
+	BackoffLimit     time.Duration
+	Readers          int
+	ExchangeInterval time.Duration
+	FanOut           int
+	Sample           int
+	Seeds            []string
+	BalancerWait     time.Duration
+	DrainLimit       time.Duration
+	// RequestBodyBytes bounds a request's body.
+	RequestBodyBytes int64
+	// HeldAnswerBytes bounds an answer that is held until complete.
+	HeldAnswerBytes int64
+	Operations      int
+	OperationBytes  int
+	AuditRecords    int
+	LogLevel        string
+}
+
+const (
+	defaultWatchWait        = time.Second
+	defaultBackoffLimit     = 5 * time.Second
+	defaultReaders          = 6
+	defaultExchangeInterval = time.Second
+	defaultFanOut           = 2
+	defaultSample           = 8
+	defaultBalancerWait     = 5 * time.Second
+	defaultDrainLimit       = 10 * time.Minute
+	defaultRequestBodyBytes = 1 << 20
+	defaultHeldAnswerBytes  = 256 << 10
+	defaultOperations       = 200_000
+	defaultOperationBytes   = 32 << 20
+	defaultAuditRecords     = 4096
+)
+
+// ErrInvalid is the root of the errors of a settings file; each fault within is
+// a *yamldoc.FieldError.
+var ErrInvalid = eris.New("the settings are not valid")
+
+// Load reads and checks a file.
+func Load(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return Parse(path, content)
+}
+
+// Parse checks the content of a file; the name is used in errors.
+func Parse(name string, content []byte) (*Settings, error) {
+	var message pb.Settings
+	var d yamldoc.Decoder
+	errs := d.Decode(content, &message)
+	if len(errs) == 0 {
+		c := &yamldoc.Checker{
+			Decoder: &d,
+		}
+		s := convert(&message, c)
+		errs = c.Errs
+		if len(errs) == 0 {
+			return s, nil
+		}
+	}
+	all := []error{ErrInvalid}
+	for _, e := range errs {
+		e.File = name
+		all = append(all, e)
+	}
+	return nil, errors.Join(all...)
+}
+
+func convert(m *pb.Settings, c *yamldoc.Checker) *Settings {
+	s := &Settings{
+		Name:             m.GetInstance().GetName(),
+		DataCenter:       m.GetInstance().GetDataCenter(),
+		Callers:          m.GetListen().GetCallers(),
+		Peers:            m.GetListen().GetPeers(),
+		PeerAddress:      orDefault(m.GetListen().GetPeersAdvertised(), m.GetListen().GetPeers()),
+		Operators:        m.GetListen().GetOperators(),
+		Platform:         m.GetPlatform().GetAddress(),
+		WatchWait:        c.Duration("platform.watch-wait", m.GetPlatform().GetWatchWait(), defaultWatchWait),
+		BackoffLimit:     c.Duration("platform.backoff-limit", m.GetPlatform().GetBackoffLimit(), defaultBackoffLimit),
+		Readers:          orDefault(int(m.GetPlatform().GetReaders()), defaultReaders),
+		ExchangeInterval: c.Duration("peers.interval", m.GetPeers().GetInterval(), defaultExchangeInterval),
+		FanOut:           orDefault(int(m.GetPeers().GetFanOut()), defaultFanOut),
+		Sample:           orDefault(int(m.GetPeers().GetSample()), defaultSample),
+		Seeds:            m.GetPeers().GetSeeds(),
+		BalancerWait:     c.Duration("shutdown.balancer-wait", m.GetShutdown().GetBalancerWait(), defaultBalancerWait),
+		DrainLimit:       c.Duration("shutdown.drain-limit", m.GetShutdown().GetDrainLimit(), defaultDrainLimit),
+		RequestBodyBytes: orDefault(int64(m.GetLimits().GetRequestBodyBytes()), defaultRequestBodyBytes),
+		HeldAnswerBytes:  orDefault(int64(m.GetLimits().GetHeldAnswerBytes()), defaultHeldAnswerBytes),
+		Operations:       orDefault(int(m.GetLimits().GetOperations()), defaultOperations),
+		OperationBytes:   orDefault(int(m.GetLimits().GetOperationBytes()), defaultOperationBytes),
+		AuditRecords:     orDefault(int(m.GetLimits().GetAuditRecords()), defaultAuditRecords),
+		LogLevel:         orDefault(m.GetLog().GetLevel(), "info"),
+	}
+	check(s, c)
+	return s
+}
+
+func check(s *Settings, c *yamldoc.Checker) {
+	c.Name("instance.name", s.Name)
+	c.Name("instance.data-center", s.DataCenter)
+	c.Address("listen.callers", s.Callers)
+	c.Address("listen.peers", s.Peers)
+	c.Address("listen.operators", s.Operators)
+	if s.PeerAddress != s.Peers {
+		c.Address("listen.peers-advertised", s.PeerAddress)
+	}
+	c.Address("platform.address", s.Platform)
+	for _, a := range s.Seeds {
+		c.Address("peers.seeds", a)
+	}
+	if s.Callers != "" && (s.Callers == s.Peers || s.Callers == s.Operators) {
+		c.Fail("listen.callers", "is used twice")
+	}
+	if s.Peers != "" && s.Peers == s.Operators {
+		c.Fail("listen.peers", "is used twice")
+	}
+	if s.RequestBodyBytes < 0 || s.HeldAnswerBytes < 0 {
+		c.Fail("limits", "a size is out of range")
+	}
+	c.OneOf("log.level", s.LogLevel, "debug", "info", "warn", "error")
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/pkg/tarragonwell/admission/budgets.go
@@ -0,0 +1,47 @@
+package admission
+
+import "time"
+
+const (
+	// retryBurst bounds the retries saved up in quiet times.
+	retryBurst = 10
+	// retryFloor is the number of retries that a service may make before it has
+	// earned any.
+	retryFloor = 3
+)
+
+// RetryBudget lets a share of the calls be sent once more. The zero value has
+// the floor saved up.
+type RetryBudget struct {
+	// Ratio is between 0 and 1.
+	Ratio float64
+	// spent less earned; at most retryFloor, at least -retryBurst.
+	debt float64
+}
+
+// Earn takes in a first attempt.
+func (b *RetryBudget) Earn() {
+	b.debt = max(-retryBurst, b.debt-b.Ratio)
+}
+
+// Spend takes one retry out of the budget, or returns false.
+func (b *RetryBudget) Spend() bool {
+	if b.debt+1 > retryFloor {
+		return false
+	}
+	b.debt++
+	return true
+}
+
+// ProbeInterval is the time between two probes of one target by one instance,
+// such that the whole fleet stays within the budget, in probes a second. It
+// divides by the highest count of instances that anything names and never by
+// those that can be heard, for under a partition these are too few. It returns
+// 0 where no probe is allowed.
+func ProbeInterval(budget float64, instancesAtMost, listed, known int) time.Duration {
+	if budget <= 0 {
+		return 0
+	}
+	instances := max(1, instancesAtMost, listed, known)
+	return time.Duration(float64(instances) / budget * float64(time.Second))
+}
--- /dev/null
+++ b/pkg/tarragonwell/membership/view.go
@@ -0,0 +1,230 @@
+// Package membership joins what peers say of themselves into a view of the
+// fleet. The view guides preference only: nothing that must hold rests on it.
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+const (
+	// aliveFor is how long a peer is used after its last heartbeat.
+	aliveFor = 10 * time.Second
+	// remembered is how long a record is kept, so that old news of a peer that
+	// has gone does not bring it back.
+	remembered = 60 * time.Second
+)
+
+// View is what one instance knows of the fleet. One task owns it. The zero
+// value is empty.
+type View struct {
+	// Self is left out of Peers and always part of Sample.
+	Self tarragonwell.Member
+	// Seeds are addresses on the settings' and the platform's lists. One that
+	// was never heard of is tried now and then.
+	Seeds   []string
+	records map[string]*record
+	holders map[tarragonwell.Incarnation]tarragonwell.Holder
+	leaving map[TargetKey]time.Time
+}
+
+// TargetKey names a target of a service.
+type TargetKey struct {
+	Service string
+	Address string
+}
+
+type record struct {
+	member tarragonwell.Member
+	// heard is when the heartbeat last grew.
+	heard time.Time
+}
+
+// Merge takes in a record and reports whether the peer is new or changed state.
+func (v *View) Merge(now time.Time, m tarragonwell.Member) bool {
+	if m.PeerAddress == v.Self.PeerAddress || m.PeerAddress == "" {
+		return false
+	}
+	if v.records == nil {
+		v.records = map[string]*record{}
+	}
+	old := v.records[m.PeerAddress]
+	if old == nil {
+		v.records[m.PeerAddress] = &record{
+			member: m,
+			heard:  now,
+		}
+		return true
+	}
+	if !supersedes(m, old.member) {
+		return false
+	}
+	changed := m.State != old.member.State || m.Incarnation != old.member.Incarnation
+	old.member = m
+	old.heard = now
+	return changed
+}
+
+// supersedes reports whether m is later news than old.
+func supersedes(m, old tarragonwell.Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Started.After(old.Started)
+	}
+	if m.Heartbeat != old.Heartbeat {
+		return m.Heartbeat > old.Heartbeat
+	}
+	return m.State > old.State
+}
+
+// Alive lists the peers heard of lately that have not gone, ordered by address.
+func (v *View) Alive(now time.Time) []tarragonwell.Member {
+	return v.list(func(r *record) bool {
+		return r.member.State != tarragonwell.MemberGone && now.Sub(r.heard) < aliveFor
+	})
+}
+
+// All lists every record that is kept, ordered by address.
+func (v *View) All() []tarragonwell.Member {
+	return v.list(func(*record) bool { return true })
+}
+
+func (v *View) list(keep func(*record) bool) []tarragonwell.Member {
+	var out []tarragonwell.Member
+	for _, r := range v.records {
+		if keep(r) {
+			out = append(out, r.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b tarragonwell.Member) int {
+		return cmp.Compare(a.PeerAddress, b.PeerAddress)
+	})
+	return out
+}
+
+// Expire forgets what is too old to be of use.
+func (v *View) Expire(now time.Time) {
+	for a, r := range v.records {
+		if now.Sub(r.heard) > remembered {
+			delete(v.records, a)
+		}
+	}
+	for i, h := range v.holders {
+		if now.After(h.Until) {
+			delete(v.holders, i)
+		}
+	}
+	for k, until := range v.leaving {
+		if now.After(until) {
+			delete(v.leaving, k)
+		}
+	}
+}
+
+// Sample draws up to n records, the instance's own always among them, so that
+// a message stays the same size as the fleet grows.
+func (v *View) Sample(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
+	recent := v.list(func(x *record) bool { return now.Sub(x.heard) < aliveFor })
+	r.Shuffle(len(recent), func(i, j int) {
+		recent[i], recent[j] = recent[j], recent[i]
+	})
+	out := []tarragonwell.Member{v.Self}
+	return append(out, recent[:min(len(recent), max(0, n-1))]...)
+}
+
+// Pick draws up to n peers to talk to. One that has been silent is drawn now
+// and then, for it may be back.
+func (v *View) Pick(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
+	peers := v.Alive(now)
+	if len(peers) == 0 {
+		peers = v.All()
+	}
+	r.Shuffle(len(peers), func(i, j int) {
+		peers[i], peers[j] = peers[j], peers[i]
+	})
+	peers = peers[:min(len(peers), n)]
+	silent := v.list(func(x *record) bool { return now.Sub(x.heard) >= aliveFor })
+	if len(silent) > 0 {
+		peers = append(peers, silent[r.IntN(len(silent))])
+	}
+	if unheard := v.unheard(); len(unheard) > 0 {
+		peers = append(peers, tarragonwell.Member{
+			PeerAddress: unheard[r.IntN(len(unheard))],
+		})
+	}
+	return peers
+}
+
+// unheard lists the seeds of which there is no record.
+func (v *View) unheard() []string {
+	var out []string
+	for _, a := range v.Seeds {
+		if a != v.Self.PeerAddress && v.records[a] == nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Known reports whether an address belongs to the fleet.
+func (v *View) Known(address string) bool {
+	return v.records[address] != nil || slices.Contains(v.Seeds, address)
+}
+
+// IsReader reports whether the instance is one of the n that watch the
+// platform for the others. Two instances with different views may both be.
+func (v *View) IsReader(now time.Time, n int) bool {
+	rank := 0
+	own := xxhash.Sum64(v.Self.Incarnation[:])
+	for _, m := range v.Alive(now) {
+		if m.State == tarragonwell.MemberServing && xxhash.Sum64(m.Incarnation[:]) < own {
+			rank++
+		}
+	}
+	return rank < n
+}
+
+// MergeHolder takes in where an incarnation's operations went and reports
+// whether this is news.
+func (v *View) MergeHolder(h tarragonwell.Holder) bool {
+	if v.holders == nil {
+		v.holders = map[tarragonwell.Incarnation]tarragonwell.Holder{}
+	}
+	old, known := v.holders[h.Incarnation]
+	if known && old.Generation >= h.Generation {
+		return false
+	}
+	v.holders[h.Incarnation] = h
+	return true
+}
+
+// Holders lists where operations went.
+func (v *View) Holders() []tarragonwell.Holder {
+	var out []tarragonwell.Holder
+	for _, h := range v.holders {
+		out = append(out, h)
+	}
+	return out
+}
+
+// MergeLeaving takes in that a target leaves and reports whether this is news.
+func (v *View) MergeLeaving(k TargetKey, until time.Time) bool {
+	if v.leaving == nil {
+		v.leaving = map[TargetKey]time.Time{}
+	}
+	old, known := v.leaving[k]
+	if until.After(old) {
+		v.leaving[k] = until
+	}
+	return !known
+}
+
+// Leaving lists the targets that leave and until when this is believed.
+func (v *View) Leaving() map[TargetKey]time.Time {
+	return v.leaving
+}
--- /dev/null
+++ b/pkg/tarragonwell/operation/verdict.go
@@ -0,0 +1,34 @@
+package operation
+
+import "github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+
+// Action is what is to be done with a request that shows a ticket.
+type Action int
+
+const (
+	// ActionTell means that the verdict's result is final.
+	ActionTell Action = iota
+	// ActionDispatch means that the operation is to be dispatched now, once.
+	ActionDispatch
+	// ActionWait means that the operation is running.
+	ActionWait
+	// ActionForward means that the ticket belongs to another incarnation.
+	ActionForward
+)
+
+// Verdict is the decision on a request that shows a ticket.
+type Verdict struct {
+	Action Action
+	// Result is set with ActionTell.
+	Result tarragonwell.StoredResult
+}
+
+func tell(o tarragonwell.Outcome, reason string) Verdict {
+	return Verdict{
+		Action: ActionTell,
+		Result: tarragonwell.StoredResult{
+			Outcome: o,
+			Reason:  reason,
+		},
+	}
+}
--- /dev/null
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -0,0 +1,152 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+const (
+	// occupancyHeadroom keeps a target's slots busy while an answer and the
+	// next call are on the network.
+	occupancyHeadroom = 1.2
+	// choiceSamples bounds herding: the best of a few, never the best of all.
+	choiceSamples = 4
+	// remotePenalty is the cost of another data centre, in shares of a target's
+	// slots.
+	remotePenalty = 0.15
+	// failurePenalty is the cost of a target that fails every call.
+	failurePenalty = 8
+	// minNewsLife is the shortest time over which a load report fades.
+	minNewsLife = 20 * time.Millisecond
+	// newsLifeLatencies is the time over which a report fades, in mean latencies.
+	newsLifeLatencies = 2
+	minStall          = 25 * time.Millisecond
+	// stallLatencies is how many mean latencies without an answer make a stall.
+	stallLatencies = 5
+	// suspectSlowdown is where a target's own report is no longer believed.
+	suspectSlowdown = 1.5
+	maxSlowdown     = 20
+)
+
+// AdaptiveChooser is the default. It estimates how many slots of each target
+// are taken, by its own calls and by the faded reports of the targets, and
+// holds a call while all targets seem full. Slow, failing and silent targets
+// lose their traffic whatever they report.
+type AdaptiveChooser struct {
+	Random *rand.Rand
+	// candidates is reused between calls.
+	candidates []int
+}
+
+// Choose implements tarragonwell.Chooser.
+func (c *AdaptiveChooser) Choose(now time.Time, in tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
+	c.candidates = c.candidates[:0]
+	stalled := 0
+	for i, t := range targets {
+		if Stalled(now, t, in.ShortLatency) {
+			stalled++
+			continue
+		}
+		if hasRoom(now, t, in) {
+			c.candidates = append(c.candidates, i)
+		}
+	}
+	if stalled == len(targets) {
+		return c.leastOwn(targets)
+	}
+	if len(c.candidates) == 0 {
+		return -1
+	}
+	return c.bestOfSample(now, in, targets)
+}
+
+// bestOfSample draws a few candidates without replacement and returns the one
+// with the lowest cost.
+func (c *AdaptiveChooser) bestOfSample(now time.Time, in tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
+	best := -1
+	bestCost := math.Inf(1)
+	for n := range min(choiceSamples, len(c.candidates)) {
+		j := n + intN(c.Random, len(c.candidates)-n)
+		c.candidates[n], c.candidates[j] = c.candidates[j], c.candidates[n]
+		i := c.candidates[n]
+		if k := cost(now, targets[i], in); k < bestCost {
+			best = i
+			bestCost = k
+		}
+	}
+	return best
+}
+
+// leastOwn is the choice where every target is silent: a call must go
+// somewhere, else none would ever show that it is back.
+func (c *AdaptiveChooser) leastOwn(targets []*tarragonwell.TargetState) int {
+	best := intN(c.Random, len(targets))
+	for i, t := range targets {
+		if t.InFlight < targets[best].InFlight {
+			best = i
+		}
+	}
+	if targets[best].InFlight >= targets[best].Slots {
+		return -1
+	}
+	return best
+}
+
+// Stalled reports whether a target has short calls in flight and has answered
+// none for several mean latencies.
+func Stalled(now time.Time, t *tarragonwell.TargetState, mean time.Duration) bool {
+	if t.InFlight-t.InFlightLong <= 0 || t.Progress.IsZero() {
+		return false
+	}
+	return now.Sub(t.Progress) > max(minStall, stallLatencies*mean)
+}
+
+// Occupancy estimates the calls at a target. A report fades towards the mean of
+// the service, for it says less and less of the present.
+func Occupancy(now time.Time, t *tarragonwell.TargetState, in tarragonwell.ChoiceInput) float64 {
+	life := max(minNewsLife, newsLifeLatencies*in.ShortLatency)
+	fresh := 0.0
+	if !t.ReportedAt.IsZero() {
+		fresh = math.Exp(-float64(now.Sub(t.ReportedAt)) / float64(life))
+	}
+	others := t.Others*fresh + in.MeanOthers*(1-fresh)
+	if t.Slowdown > suspectSlowdown {
+		others = max(others, in.MeanOthers)
+	}
+	return float64(t.InFlight) + others
+}
+
+// hasRoom reports whether a target seems to have a slot for one more call.
+func hasRoom(now time.Time, t *tarragonwell.TargetState, in tarragonwell.ChoiceInput) bool {
+	if t.InFlight >= rampLimit(now, t, in.Ramp) {
+		return false
+	}
+	return Occupancy(now, t, in) < float64(t.Slots)*occupancyHeadroom
+}
+
+// rampLimit is the number of own calls that a new or recovered target may have.
+func rampLimit(now time.Time, t *tarragonwell.TargetState, ramp time.Duration) int {
+	full := int(math.Ceil(float64(t.Slots) * occupancyHeadroom))
+	age := now.Sub(t.RampFrom)
+	if ramp <= 0 || age >= ramp {
+		return full
+	}
+	return 1 + int(float64(full-1)*float64(age)/float64(ramp))
+}
+
+// cost orders the targets that have room.
+func cost(now time.Time, t *tarragonwell.TargetState, in tarragonwell.ChoiceInput) float64 {
+	slowdown := 1.0
+	if t.Slowdown > 0 {
+		slowdown = min(maxSlowdown, max(0.5, t.Slowdown))
+	}
+	k := (Occupancy(now, t, in) + 1) / float64(t.Slots) * slowdown
+	k *= 1 + failurePenalty*t.FailureRate
+	if !t.Local {
+		k += remotePenalty
+	}
+	return k
+}
--- /dev/null
+++ b/pkg/tarragonwell/policy/baselines.go
@@ -0,0 +1,65 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// RoundRobinChooser takes the targets in turn.
+type RoundRobinChooser struct {
+	next int
+}
+
+// Choose implements tarragonwell.Chooser.
+func (c *RoundRobinChooser) Choose(_ time.Time, _ tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
+	c.next++
+	return c.next % len(targets)
+}
+
+// RandomChooser takes any target.
+type RandomChooser struct {
+	Random *rand.Rand
+}
+
+// Choose implements tarragonwell.Chooser.
+func (c *RandomChooser) Choose(_ time.Time, _ tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
+	return intN(c.Random, len(targets))
+}
+
+// PowerOfTwoChooser samples two targets and takes the one with fewer own calls
+// in flight.
+type PowerOfTwoChooser struct {
+	Random *rand.Rand
+}
+
+// Choose implements tarragonwell.Chooser.
+func (c *PowerOfTwoChooser) Choose(_ time.Time, _ tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
+	i := intN(c.Random, len(targets))
+	j := intN(c.Random, len(targets))
+	if targets[j].InFlight < targets[i].InFlight {
+		return j
+	}
+	return i
+}
+
+// LeastLatencyChooser samples two targets and takes the one with the smaller
+// product of smoothed latency and own calls in flight.
+type LeastLatencyChooser struct {
+	Random *rand.Rand
+}
+
+// Choose implements tarragonwell.Chooser.
+func (c *LeastLatencyChooser) Choose(_ time.Time, _ tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
+	i := intN(c.Random, len(targets))
+	j := intN(c.Random, len(targets))
+	if latencyCost(targets[j]) < latencyCost(targets[i]) {
+		return j
+	}
+	return i
+}
+
+func latencyCost(t *tarragonwell.TargetState) float64 {
+	return t.Latency.Seconds() * float64(t.InFlight+1)
+}
--- /dev/null
+++ b/pkg/tarragonwell/rules/matcher.go
@@ -0,0 +1,71 @@
+// Package rules decides which rule is in force for a request and what one
+// rules file changes against another.
+package rules
+
+import (
+	"strings"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// Matcher finds the route of a request. It is immutable; the zero value
+// matches nothing.
+type Matcher struct {
+	// byPath holds the routes of each path prefix.
+	byPath map[string][]*tarragonwell.Route
+}
+
+// NewMatcher indexes the routes of a rules file.
+func NewMatcher(routes []*tarragonwell.Route) *Matcher {
+	m := &Matcher{
+		byPath: map[string][]*tarragonwell.Route{},
+	}
+	for _, r := range routes {
+		p := strings.TrimSuffix(r.Path, "/")
+		m.byPath[p] = append(m.byPath[p], r)
+	}
+	return m
+}
+
+// Match returns the route with the longest path prefix; among equals, one that
+// names the method. It returns nil where no route fits.
+func (m *Matcher) Match(method, path string) *tarragonwell.Route {
+	p := strings.TrimSuffix(path, "/")
+	for {
+		if r := pick(m.byPath[p], method); r != nil {
+			return r
+		}
+		i := strings.LastIndexByte(p, '/')
+		if i < 0 {
+			return nil
+		}
+		p = p[:i]
+	}
+}
+
+func pick(routes []*tarragonwell.Route, method string) *tarragonwell.Route {
+	var other *tarragonwell.Route
+	for _, r := range routes {
+		if r.Method == method {
+			return r
+		}
+		if r.Method == "" {
+			other = r
+		}
+	}
+	return other
+}
+
+// Explain returns the lines in force for a request: its route, kind, service
+// and the fleet's.
+func Explain(s *tarragonwell.RuleSet, method, path string) []tarragonwell.RuleLine {
+	r := NewMatcher(s.Routes).Match(method, path)
+	if r == nil {
+		return nil
+	}
+	lines := []tarragonwell.RuleLine{r.Line, r.Kind.Line, r.Service.Line}
+	if s.Fleet.Line.Number > 0 {
+		lines = append(lines, s.Fleet.Line)
+	}
+	return lines
+}
--- /dev/null
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -0,0 +1,166 @@
+package scheduling
+
+import (
+	"math"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+const (
+	// ejectAfter is the number of failures in a row that eject a target.
+	ejectAfter = 3
+	// firstEjection doubles with each further ejection up to lastEjection.
+	firstEjection = 200 * time.Millisecond
+	lastEjection  = 5 * time.Second
+	// failureSmoothing is the weight of the latest call in the failure rate.
+	failureSmoothing = 0.1
+	latencySmoothing = 0.1
+	// slowdownSmoothing is higher, for a target's speed shifts in milliseconds.
+	slowdownSmoothing = 0.25
+	othersSmoothing   = 0.05
+	// maxObservedSlowdown bounds what one call can say.
+	maxObservedSlowdown = 50
+)
+
+// End is how an attempt at a target ended.
+type End int
+
+const (
+	// EndAnswered is a whole answer that is no sign of trouble.
+	EndAnswered End = iota
+	// EndFailed is a broken connection, a late answer or a server error.
+	EndFailed
+	// EndShed is a target's word that it did not run the call.
+	EndShed
+	// EndCancelled is an attempt that the instance gave up; it says nothing of
+	// the target.
+	EndCancelled
+)
+
+// Release gives back what a Grant gave.
+type Release struct {
+	Target  string
+	Kind    *tarragonwell.Kind
+	End     End
+	Latency time.Duration
+	// Load is the target's own report, or nil.
+	Load *tarragonwell.LoadReport
+	// Leaving is the target's own word.
+	Leaving bool
+}
+
+// begin counts a call that goes to a target.
+func (s *Scheduler) begin(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) {
+	if t.InFlight == t.InFlightLong {
+		t.Progress = now
+	}
+	t.InFlight++
+	if k.Long {
+		t.InFlightLong++
+	}
+	t.Sent++
+	s.inFlight++
+}
+
+// Release takes in the end of an attempt. Poll then serves the waiting calls.
+func (s *Scheduler) Release(now time.Time, r Release) {
+	s.inFlight--
+	t := s.find(r.Target)
+	if t == nil {
+		return
+	}
+	// A target that left the list and came back has lost its counts.
+	t.InFlight = max(0, t.InFlight-1)
+	if r.Kind.Long {
+		t.InFlightLong = max(0, t.InFlightLong-1)
+	}
+	if r.Load != nil {
+		s.TakeLoad(now, t.Address, *r.Load)
+	}
+	switch r.End {
+	case EndAnswered:
+		s.succeed(now, t, r)
+	case EndFailed:
+		s.fail(now, t, r.Kind)
+	case EndShed:
+		s.shed(now, t)
+	case EndCancelled:
+	}
+}
+
+func (s *Scheduler) succeed(now time.Time, t *tarragonwell.TargetState, r Release) {
+	t.FailureRate *= 1 - failureSmoothing
+	if t.ConsecutiveFailures >= ejectAfter {
+		t.RampFrom = now
+	}
+	t.ConsecutiveFailures = 0
+	t.Ejections = 0
+	if r.Kind.Long {
+		return
+	}
+	t.Progress = now
+	s.learn(t, r)
+	s.limiter.Succeed(s.inFlight)
+}
+
+// learn takes in the latency of a short call.
+func (s *Scheduler) learn(t *tarragonwell.TargetState, r Release) {
+	k := s.stats(r.Kind)
+	if mean := k.mean(); mean > 0 {
+		ratio := min(maxObservedSlowdown, float64(r.Latency)/float64(mean))
+		t.Slowdown = smooth(t.Slowdown, ratio, slowdownSmoothing)
+	}
+	k.take(r.Latency)
+	t.Latency = time.Duration(smooth(float64(t.Latency), float64(r.Latency), latencySmoothing))
+	s.shortLatency = time.Duration(smooth(float64(s.shortLatency), float64(r.Latency), latencySmoothing))
+}
+
+func (s *Scheduler) fail(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) {
+	t.Failed++
+	t.FailureRate += failureSmoothing * (1 - t.FailureRate)
+	t.ConsecutiveFailures++
+	if !k.Long {
+		t.Progress = now
+	}
+	if t.ConsecutiveFailures < ejectAfter {
+		return
+	}
+	wait := firstEjection << min(t.Ejections, 10)
+	t.EjectedUntil = now.Add(min(wait, lastEjection))
+	t.Ejections++
+}
+
+func (s *Scheduler) shed(now time.Time, t *tarragonwell.TargetState) {
+	t.Shed++
+	t.Progress = now
+	t.Others = max(t.Others, float64(t.Slots))
+	t.ReportedAt = now
+	s.limiter.Congest(now, s.shortLatency)
+}
+
+// TakeLoad takes in a target's own report, from an answer or a probe.
+func (s *Scheduler) TakeLoad(now time.Time, address string, l tarragonwell.LoadReport) {
+	t := s.find(address)
+	if t == nil {
+		return
+	}
+	t.Others = math.Max(0, float64(l.Total()-t.InFlight))
+	t.ReportedAt = now
+	s.meanOthers = smooth(s.meanOthers, t.Others, othersSmoothing)
+}
+
+// CountProbe counts a probe in the target's state.
+func (s *Scheduler) CountProbe(address string) {
+	if t := s.find(address); t != nil {
+		t.Probes++
+	}
+}
+
+// smooth moves old towards x; the first x counts whole.
+func smooth(old, x, weight float64) float64 {
+	if old == 0 {
+		return x
+	}
+	return old + weight*(x-old)
+}
--- /dev/null
+++ b/pkg/tarragonwell/scheduling/stats.go
@@ -0,0 +1,102 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+const (
+	// hedgeDeviations sets the hedge delay above the mean.
+	hedgeDeviations = 4
+	minHedgeDelay   = 2 * time.Millisecond
+	// rateWindow is the time over which the rate of grants is measured.
+	rateWindow = 100 * time.Millisecond
+)
+
+// kindStats is what the scheduler has learnt of one kind.
+type kindStats struct {
+	// latency and deviation are smoothed, in nanoseconds; 0 before the first.
+	latency   float64
+	deviation float64
+}
+
+func (s *Scheduler) stats(k *tarragonwell.Kind) *kindStats {
+	x := s.kinds[k.Name]
+	if x == nil {
+		x = &kindStats{}
+		s.kinds[k.Name] = x
+	}
+	return x
+}
+
+func (k *kindStats) mean() time.Duration {
+	return time.Duration(k.latency)
+}
+
+func (k *kindStats) take(latency time.Duration) {
+	x := float64(latency)
+	gap := x - k.latency
+	if gap < 0 {
+		gap = -gap
+	}
+	if k.latency > 0 {
+		k.deviation = smooth(k.deviation, gap, latencySmoothing)
+	}
+	k.latency = smooth(k.latency, x, latencySmoothing)
+}
+
+// hedgeDelay is 0 before anything was learnt.
+func (k *kindStats) hedgeDelay() time.Duration {
+	if k.latency == 0 {
+		return 0
+	}
+	return max(minHedgeDelay, time.Duration(k.latency+hedgeDeviations*k.deviation))
+}
+
+// expected is the time that a call of a kind needs at a target.
+func (s *Scheduler) expected(k *tarragonwell.Kind) time.Duration {
+	if k.Long {
+		return 0
+	}
+	return s.stats(k).mean()
+}
+
+// estimatedWait is the time that a new call of a kind would wait.
+func (s *Scheduler) estimatedWait(k *tarragonwell.Kind) time.Duration {
+	rate := s.grants.perSecond()
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(s.queue.Ahead(k) / rate * float64(time.Second))
+}
+
+// rateMeter measures events a second over windows. The zero value has measured
+// nothing.
+type rateMeter struct {
+	begin  time.Time
+	events float64
+	// rate is of the last whole windows, smoothed.
+	rate float64
+}
+
+const rateSmoothing = 0.3
+
+func (m *rateMeter) count(now time.Time) {
+	age := now.Sub(m.begin)
+	switch {
+	case m.begin.IsZero() || age > 10*rateWindow:
+		// A long pause says nothing of the rate under load.
+		m.begin = now
+		m.events = 0
+	case age >= rateWindow:
+		m.rate = smooth(m.rate, m.events/age.Seconds(), rateSmoothing)
+		m.begin = now
+		m.events = 0
+	}
+	m.events++
+}
+
+func (m *rateMeter) perSecond() float64 {
+	return m.rate
+}
--- /dev/null
+++ b/pkg/tarragonwell/target.go
@@ -0,0 +1,81 @@
+package tarragonwell
+
+import "time"
+
+// ListedTarget is one entry of the platform's lagging list.
+type ListedTarget struct {
+	Service    string
+	Address    string
+	DataCenter string
+	Leaving    bool
+}
+
+// ListedInstance is an instance of tarragonwell on the platform's list.
+type ListedInstance struct {
+	// Address is for callers.
+	Address string
+	// PeerAddress is for other instances.
+	PeerAddress string
+	DataCenter  string
+	Leaving     bool
+}
+
+// InstanceList is one reading of the platform's list.
+type InstanceList struct {
+	Revision  uint64
+	Targets   []ListedTarget
+	Instances []ListedInstance
+}
+
+// TargetState is what an instance knows of one target. The service's task owns
+// it; the choosers only read it.
+type TargetState struct {
+	Address    string
+	DataCenter string
+	// Local says that the target is in the instance's own data centre.
+	Local bool
+	// Slots is at least 1.
+	Slots int
+	// InFlight counts the instance's own calls, long ones included.
+	InFlight int
+	// InFlightLong is at most InFlight.
+	InFlightLong int
+	// Others is the calls of other instances at ReportedAt, at least 0.
+	Others     float64
+	ReportedAt time.Time
+	// Latency is the smoothed time of short calls; 0 before the first.
+	Latency time.Duration
+	// Slowdown is the smoothed ratio of latency to the kind's mean over all
+	// targets; 0 before the first call.
+	Slowdown float64
+	// Progress is when a short call last ended, or when the first of those in
+	// flight began.
+	Progress time.Time
+	// FailureRate is the smoothed share of failed calls, 0 to 1.
+	FailureRate float64
+	// ConsecutiveFailures goes back to 0 with the first success.
+	ConsecutiveFailures int
+	// EjectedUntil is when an ejected target may get a trial call.
+	EjectedUntil time.Time
+	// Ejections counts the ejections since the last success.
+	Ejections int
+	// RampFrom is when the target joined or came back.
+	RampFrom time.Time
+	// LeavingUntil is how long a target's own word, or a peer's, is believed.
+	LeavingUntil time.Time
+	// ListedLeaving is the platform's word.
+	ListedLeaving bool
+	// LongRank orders the targets of a service for long work, from 0. It is the
+	// same on every instance with the same list.
+	LongRank int
+
+	Sent   uint64
+	Failed uint64
+	Shed   uint64
+	Probes uint64
+}
+
+// Leaving reports whether the target takes no new work.
+func (t *TargetState) Leaving(now time.Time) bool {
+	return t.ListedLeaving || now.Before(t.LeavingUntil)
+}
