--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,329 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/tarragonwell/tarragonwell/internal/operator"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/test/standin/balancer"
+	"github.com/tarragonwell/tarragonwell/test/standin/platform"
+	"github.com/tarragonwell/tarragonwell/test/standin/target"
+)
+
+// Ports of an instance on its own loopback address.
+const (
+	portCallers   = 8080
+	portPeers     = 8081
+	portOperators = 8082
+	// portRelay is where peers reach the instance, through a relay.
+	portRelay = 8083
+)
+
+// Options describes a fleet.
+type Options struct {
+	// Program is the tarragonwell binary.
+	Program string
+	// Folder holds the settings files.
+	Folder string
+	// Net is the second and third number of the fleet's loopback addresses, so
+	// that fleets of one machine do not meet.
+	Net         [2]byte
+	Instances   int
+	DataCenters int
+	Rules       string
+	// Targets counts the targets of each service.
+	Targets map[string]int
+	// Behaviour is what all targets do at first.
+	Behaviour target.Behaviour
+	// Environment is added to the instances'.
+	Environment []string
+	// Settings are lines added to each instance's settings file.
+	Settings string
+	Seed     uint64
+	// BalancerLag is how far the balancer's list lags.
+	BalancerLag time.Duration
+}
+
+// Fleet is a platform, a balancer and targets in this process, and instances as
+// processes of their own.
+type Fleet struct {
+	Options   Options
+	Platform  *platform.Platform
+	Balancer  *balancer.Balancer
+	Instances []*Instance
+	// Targets by service.
+	Targets map[string][]*target.Target
+	cancel  context.CancelFunc
+	ctx     context.Context
+
+	mu sync.Mutex
+	// leaving marks the instances that the list shows as leaving.
+	leaving map[string]bool
+}
+
+// Instance is one entry instance and the relay that its peers go through.
+type Instance struct {
+	Index      int
+	Host       string
+	DataCenter string
+	Relay      *Relay
+	settings   string
+
+	mu      sync.Mutex
+	process *Process
+}
+
+// Start starts everything and waits until the instances are ready.
+func Start(o Options) (*Fleet, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{
+		Options: o,
+		Targets: map[string][]*target.Target{},
+		cancel:  cancel,
+		ctx:     ctx,
+		leaving: map[string]bool{},
+	}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	f.Platform = platform.New(f.host(250) + ":8500")
+	f.Balancer = balancer.New(f.host(251) + ":8080")
+	if err := errors.Join(f.Platform.Start(f.ctx), f.Balancer.Start(f.ctx)); err != nil {
+		return err
+	}
+	if err := f.startTargets(); err != nil {
+		return err
+	}
+	f.Platform.Publish([]byte(f.Options.Rules))
+	for n := range f.Options.Instances {
+		i, err := f.newInstance(n)
+		if err != nil {
+			return err
+		}
+		f.Instances = append(f.Instances, i)
+	}
+	f.PublishList()
+	for _, i := range f.Instances {
+		if err := f.Launch(i); err != nil {
+			return err
+		}
+	}
+	for _, i := range f.Instances {
+		if err := i.WaitReady(10 * time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) host(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", f.Options.Net[0], f.Options.Net[1], n)
+}
+
+func (f *Fleet) dataCenter(n int) string {
+	return fmt.Sprintf("dc-%d", n%max(1, f.Options.DataCenters)+1)
+}
+
+func (f *Fleet) startTargets() error {
+	number := 0
+	for service, count := range f.Options.Targets {
+		for range count {
+			number++
+			t := target.New(fmt.Sprintf("%s:%d", f.host(252), 9000+number), f.Options.Behaviour, f.Options.Seed+uint64(number))
+			if err := t.Start(f.ctx); err != nil {
+				return err
+			}
+			f.Targets[service] = append(f.Targets[service], t)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) newInstance(n int) (*Instance, error) {
+	i := &Instance{
+		Index:      n,
+		Host:       f.host(n + 1),
+		DataCenter: f.dataCenter(n),
+	}
+	i.Relay = NewRelay(i.address(portRelay), i.address(portPeers))
+	if err := i.Relay.Start(f.ctx); err != nil {
+		return nil, err
+	}
+	i.settings = filepath.Join(f.Options.Folder, fmt.Sprintf("instance-%d.yaml", n+1))
+	content := fmt.Sprintf(`instance: {name: instance-%d, data-center: %s}
+listen: {callers: "%s", peers: "%s", operators: "%s", peers-advertised: "%s"}
+platform: {address: "%s"}
+%s
+`, n+1, i.DataCenter, i.address(portCallers), i.address(portPeers), i.address(portOperators), i.address(portRelay), f.Platform.Address, f.Options.Settings)
+	return i, os.WriteFile(i.settings, []byte(content), 0o600)
+}
+
+func (i *Instance) address(port int) string {
+	return fmt.Sprintf("%s:%d", i.Host, port)
+}
+
+// Callers is the address for callers.
+func (i *Instance) Callers() string {
+	return i.address(portCallers)
+}
+
+// Operators is the address for operators.
+func (i *Instance) Operators() string {
+	return i.address(portOperators)
+}
+
+// Process is the instance's present process.
+func (i *Instance) Process() *Process {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.process
+}
+
+// Launch starts the instance's process, anew after a kill or stop.
+func (f *Fleet) Launch(i *Instance) error {
+	p, err := StartProcess(fmt.Sprintf("instance-%d", i.Index+1), f.Options.Program, f.Options.Environment, "serve", "--settings", i.settings)
+	if err != nil {
+		return err
+	}
+	i.mu.Lock()
+	i.process = p
+	i.mu.Unlock()
+	return nil
+}
+
+// WaitReady waits until the instance says that it is ready.
+func (i *Instance) WaitReady(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	client := &http.Client{
+		Timeout: time.Second,
+	}
+	for time.Now().Before(deadline) {
+		response, err := client.Get("http://" + i.Operators() + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("instance %d is not ready:\n%s", i.Index+1, i.Process().Output())
+}
+
+// Status asks the instance.
+func (i *Instance) Status() (*pb.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	response, err := operator.NewClient(i.Operators()).Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// SetLeaving marks an instance on the platform's list.
+func (f *Fleet) SetLeaving(i *Instance, leaving bool) {
+	f.mu.Lock()
+	f.leaving[i.Host] = leaving
+	f.mu.Unlock()
+	f.PublishList()
+}
+
+// PublishList publishes the instances and targets, and tells the balancer
+// after its lag.
+func (f *Fleet) PublishList() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*pb.ListedInstance
+	var live []string
+	for _, i := range f.Instances {
+		state := "live"
+		if f.leaving[i.Host] {
+			state = "leaving"
+		} else {
+			live = append(live, i.Callers())
+		}
+		list = append(list, &pb.ListedInstance{
+			Service:     "tarragonwell",
+			Address:     i.Callers(),
+			PeerAddress: i.address(portRelay),
+			DataCenter:  i.DataCenter,
+			State:       state,
+		})
+	}
+	n := 0
+	for service, targets := range f.Targets {
+		for _, t := range targets {
+			list = append(list, &pb.ListedInstance{
+				Service:    service,
+				Address:    t.Address,
+				DataCenter: f.dataCenter(n),
+				State:      "live",
+			})
+			n++
+		}
+	}
+	f.Platform.SetInstances(list)
+	time.AfterFunc(f.Options.BalancerLag, func() { f.Balancer.SetInstances(live) })
+}
+
+// Cut stops or restores the traffic from one instance to another.
+func (f *Fleet) Cut(from, to *Instance, cut bool) {
+	to.Relay.Cut(from.Host, cut)
+}
+
+// Addresses lists the callers' addresses of all instances.
+func (f *Fleet) Addresses() []string {
+	var out []string
+	for _, i := range f.Instances {
+		out = append(out, i.Callers())
+	}
+	return out
+}
+
+// AllTargets lists the targets of all services.
+func (f *Fleet) AllTargets() []*target.Target {
+	var out []*target.Target
+	for _, ts := range f.Targets {
+		out = append(out, ts...)
+	}
+	return out
+}
+
+// Close ends everything that was started.
+func (f *Fleet) Close() {
+	for _, i := range f.Instances {
+		if p := i.Process(); p != nil {
+			p.Kill()
+		}
+	}
+	f.cancel()
+}
+
+// Logs returns the instances' output lines that contain a text.
+func (f *Fleet) Logs(text string) []string {
+	var out []string
+	for _, i := range f.Instances {
+		for line := range strings.SplitSeq(i.Process().Output(), "\n") {
+			if strings.Contains(line, text) {
+				out = append(out, line)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/test/integration/path_test.go
@@ -0,0 +1,149 @@
+// Package integration runs whole fleets on loopback and reads like a script.
+package integration
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/client"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/fleet"
+	"github.com/tarragonwell/tarragonwell/test/standin/target"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "tarragonwell")
+	if err != nil {
+		panic(err)
+	}
+	program, err = fleet.Build(folder, "tarragonwell", ".")
+	if err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+func trustRules(t *testing.T) string {
+	t.Helper()
+	content, err := os.ReadFile("../../examples/trust/rules.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+func behaviour() target.Behaviour {
+	return target.Behaviour{
+		Slots:       5,
+		Queue:       10,
+		Connections: 250,
+		ServiceMs:   3,
+		LongBytes:   100_000,
+		LongMs:      100,
+	}
+}
+
+func startFleet(t *testing.T, n byte, instances int) *fleet.Fleet {
+	t.Helper()
+	f, err := fleet.Start(fleet.Options{
+		Program:     program,
+		Folder:      t.TempDir(),
+		Net:         [2]byte{60, n},
+		Instances:   instances,
+		DataCenters: 3,
+		Rules:       trustRules(t),
+		Targets: map[string]int{
+			"booking-tracking": 4,
+			"stock-documents":  3,
+		},
+		Behaviour: behaviour(),
+		Settings:  "shutdown: {balancer-wait: 300ms}\nlog: {level: debug}",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func get(t *testing.T, address, path string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(target.HeaderTestRequest, "r1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+func TestWholePath(t *testing.T) {
+	f := startFleet(t, 1, 3)
+
+	// A short read goes through the balancer to a target and back.
+	response, body := get(t, f.Balancer.Address, "/loads/7")
+	if got, want := body, target.ShortBody("r1"); got != want {
+		t.Errorf("short body: got %q, want %q", got, want)
+	}
+	if got, want := response.Header.Get("Tarragonwell-Outcome"), "complete"; got != want {
+		t.Errorf("outcome: got %q, want %q", got, want)
+	}
+
+	// A long download is streamed whole.
+	_, body = get(t, f.Instances[0].Callers(), "/manuals/winch")
+	if got, want := body, string(target.LongBody("/manuals/winch", 100_000)); got != want {
+		t.Errorf("long body: got %d bytes, want %d", len(got), len(want))
+	}
+
+	// A release runs once, though it is repeated through every instance.
+	c := &client.Client{
+		Addresses: f.Addresses(),
+	}
+	o := &client.Operation{
+		Method: http.MethodPost,
+		Path:   "/releases/1",
+		Header: http.Header{
+			target.HeaderTestOperation: []string{"release-1"},
+		},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for range 6 {
+		a, err := c.Run(ctx, o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := a.Outcome, tarragonwell.OutcomeComplete; got != want {
+			t.Errorf("release: got %v (%s), want %v", got, a.Reason, want)
+		}
+	}
+	runs := 0
+	for _, x := range f.AllTargets() {
+		runs += len(x.Runs())
+	}
+	if got, want := runs, 1; got != want {
+		t.Errorf("runs of the release: got %d, want %d", got, want)
+	}
+
+	// What no rule routes is refused in so many words.
+	response, _ = get(t, f.Balancer.Address, "/nowhere")
+	if got, want := response.Header.Get("Tarragonwell-Outcome"), "not-run"; got != want {
+		t.Errorf("unrouted: got %q, want %q", got, want)
+	}
+}
