--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -90,21 +90,21 @@
 	}
 	routing := s.options.Routing()
 	if routing == nil {
-		writeRefusal(w, http.StatusServiceUnavailable, "no rules are in force yet", time.Second)
+		s.notReady(w, r)
 		return
 	}
 	if !cleanPath(r.URL.Path) {
-		writeRefusal(w, http.StatusBadRequest, "the path has dot segments", 0)
+		s.refuse(w, r, http.StatusBadRequest, "the path has dot segments")
 		return
 	}
 	route := routing.Match(r.Method, r.URL.Path)
 	if route == nil {
-		writeRefusal(w, http.StatusNotFound, "no rule routes this request", 0)
+		s.refuse(w, r, http.StatusNotFound, "no rule routes this request")
 		return
 	}
 	call, status, reason := s.call(r, route)
 	if call == nil {
-		writeRefusal(w, status, reason, 0)
+		s.refuse(w, r, status, reason)
 		return
 	}
 	begin := s.options.Common.Clock.Now()
@@ -118,6 +118,44 @@
 	outcome = s.serve(w, r, routing, call)
 }
 
+// notReady refuses a request for now. One with a ticket may have been run by an
+// earlier attempt, and may be run by a later one.
+func (s *Server) notReady(w http.ResponseWriter, r *http.Request) {
+	outcome := tarragonwell.OutcomeNotRun
+	if r.Header.Get(HeaderTicket) != "" {
+		outcome = tarragonwell.OutcomeUnknown
+	}
+	writeOutcome(w, outcome, http.StatusServiceUnavailable, "no rules are in force yet", time.Second)
+}
+
+// refuse ends a request that can't be passed on. One with a ticket is settled
+// by its home: not-run is told only once the ticket can never be run.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	text := r.Header.Get(HeaderTicket)
+	if text == "" {
+		writeRefusal(w, status, reason, 0)
+		return
+	}
+	ticket, err := operations.ParseTicket(text)
+	if err != nil {
+		writeRefusal(w, http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	result := s.options.Operations.Do(ctx, &tarragonwell.Operation{
+		Ticket:   ticket,
+		Verb:     tarragonwell.OperationVoid,
+		Deadline: deadline,
+	})
+	if result.Outcome == tarragonwell.OutcomeNotRun {
+		writeRefusal(w, status, reason, 0)
+		return
+	}
+	writeStored(w, result)
+}
+
 func cleanPath(p string) bool {
 	return p == "/" || path.Clean(p) == strings.TrimSuffix(p, "/")
 }
--- /dev/null
+++ b/test/history/run.go
@@ -0,0 +1,210 @@
+package history
+
+import (
+	"context"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/fleet"
+	"github.com/tarragonwell/tarragonwell/test/standin/target"
+)
+
+// Plan is one run: a fleet, a workload and a schedule of faults.
+type Plan struct {
+	Fleet    fleet.Options
+	Sorts    []Sort
+	Callers  int
+	Pause    time.Duration
+	Duration time.Duration
+	Faults   []Fault
+	// Rules makes the n-th edit of the rules file.
+	Rules func(n int) string
+	// ThroughBalancer sends all requests to the balancer.
+	ThroughBalancer bool
+	// Act runs beside the workload, besides the faults.
+	Act func(ctx context.Context, j *Injector)
+	// ProbeBudget is the rules' budget, in probes a second.
+	ProbeBudget float64
+	// InstancesAtMost is the rules' bound.
+	InstancesAtMost int
+	// NothingBroken says that no caller may see a broken connection.
+	NothingBroken bool
+}
+
+// Report is what one run showed.
+type Report struct {
+	Calls      []Call
+	Runs       []target.Run
+	Violations []Violation
+	// Behind is how long the last instance took to have the last rules in force.
+	Behind time.Duration
+	Reads  uint64
+	// Logs holds the instances' warnings.
+	Logs []string
+}
+
+const (
+	rulesPoll = 50 * time.Millisecond
+	// rulesLimit is how long after the last fault all instances may take to
+	// have the last rules in force.
+	rulesLimit = 6 * time.Second
+)
+
+// Execute carries out a plan and checks its history.
+func Execute(p Plan) (*Report, error) {
+	f, err := fleet.Start(p.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	recorder := &Recorder{}
+	j := &Injector{
+		Fleet: f,
+		Rules: p.Rules,
+	}
+	watch := &rulesWatch{}
+	watching, stopWatching := context.WithCancel(context.Background())
+	defer stopWatching()
+	go watch.run(watching, f)
+
+	ctx, cancel := context.WithTimeout(context.Background(), p.Duration)
+	defer cancel()
+	var both sync.WaitGroup
+	both.Go(func() { p.workload(f, recorder).Run(ctx) })
+	both.Go(func() { j.Run(context.Background(), p.Faults) })
+	if p.Act != nil {
+		both.Go(func() { p.Act(ctx, j) })
+	}
+	both.Wait()
+
+	r := &Report{
+		Reads: f.Platform.Reads(),
+	}
+	r.Behind = watch.settle(f)
+	r.Calls = recorder.Calls()
+	for _, t := range f.AllTargets() {
+		r.Runs = append(r.Runs, t.Runs()...)
+	}
+	r.Violations = p.check(f, r, watch)
+	return r, nil
+}
+
+func (p Plan) workload(f *fleet.Fleet, recorder *Recorder) *Workload {
+	addresses := f.Addresses()
+	if p.ThroughBalancer {
+		addresses = []string{f.Balancer.Address}
+	}
+	return &Workload{
+		Sorts:     p.Sorts,
+		Addresses: addresses,
+		Callers:   p.Callers,
+		Pause:     p.Pause,
+		LongBytes: p.Fleet.Behaviour.LongBytes,
+		Seed:      p.Fleet.Seed,
+		Recorder:  recorder,
+		Name:      "w",
+	}
+}
+
+func (p Plan) check(f *fleet.Fleet, r *Report, watch *rulesWatch) []Violation {
+	out := Check(r.Calls, r.Runs)
+	out = append(out, CheckRules(watch.all())...)
+	if r.Behind > rulesLimit {
+		out = append(out, Violation{
+			Promise: PromiseRules,
+			Detail:  "an instance did not have the last rules in force after " + r.Behind.String(),
+		})
+	}
+	if p.ProbeBudget > 0 {
+		window := time.Duration(float64(p.InstancesAtMost) / p.ProbeBudget * probeMargin * float64(time.Second))
+		for _, t := range f.AllTargets() {
+			out = append(out, CheckProbes(t.Address, t.Probes(), p.InstancesAtMost, window)...)
+		}
+	}
+	for _, c := range r.Calls {
+		if p.NothingBroken && c.Broken {
+			out = append(out, Violation{
+				Promise: PromiseStop,
+				Detail:  describe(c.Operation, []Call{c}, nil),
+			})
+		}
+	}
+	return out
+}
+
+// probeMargin allows for the network between an instance and a target.
+const probeMargin = 0.95
+
+// rulesWatch looks at the rules that each instance has in force.
+type rulesWatch struct {
+	mu   sync.Mutex
+	seen []RulesSeen
+}
+
+func (w *rulesWatch) run(ctx context.Context, f *fleet.Fleet) {
+	var all sync.WaitGroup
+	for _, i := range f.Instances {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				w.look(i)
+				sleep(ctx, rulesPoll)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// look records what an instance says. Only one that serves counts: before that
+// it takes no calls.
+func (w *rulesWatch) look(i *fleet.Instance) (tarragonwell.RulesVersion, bool) {
+	s, err := i.Status()
+	if err != nil || s.GetState() != "serving" {
+		return tarragonwell.RulesVersion{}, false
+	}
+	digest, _ := hex.DecodeString(s.GetRulesDigest())
+	v := tarragonwell.RulesVersion{
+		Revision: s.GetRulesRevision(),
+		Digest:   digest,
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seen = append(w.seen, RulesSeen{
+		Instance:    i.Host,
+		Incarnation: s.GetIncarnation(),
+		At:          time.Now(),
+		Version:     v,
+	})
+	return v, true
+}
+
+func (w *rulesWatch) all() []RulesSeen {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]RulesSeen(nil), w.seen...)
+}
+
+// settle waits until all instances have the same rules, of the highest revision
+// seen, and returns how long this took.
+func (w *rulesWatch) settle(f *fleet.Fleet) time.Duration {
+	begin := time.Now()
+	for time.Since(begin) < 2*rulesLimit {
+		if w.agree(f) {
+			break
+		}
+		time.Sleep(rulesPoll)
+	}
+	return time.Since(begin)
+}
+
+func (w *rulesWatch) agree(f *fleet.Fleet) bool {
+	last := f.Platform.Last()
+	for _, i := range f.Instances {
+		v, ok := w.look(i)
+		if !ok || v.Revision != last {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/test/history/standard.go
@@ -0,0 +1,83 @@
+package history
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/test/fleet"
+	"github.com/tarragonwell/tarragonwell/test/standin/target"
+)
+
+// Promises lists what is checked.
+var Promises = []string{
+	PromiseAtMostOnce, PromiseNotRun, PromiseComplete, PromiseWholeAnswer, PromiseOneOutcome, PromiseLeaving,
+	PromiseStop, PromiseRules, PromiseProbes,
+}
+
+const (
+	standardInstances = 5
+	// standardProbeBudget is in probes a second and target.
+	standardProbeBudget = 10
+	// standardAtMost bounds the instances; a replaced one counts with its
+	// successor, which starts anew with no probe saved up.
+	standardAtMost = standardInstances
+)
+
+// standardRules is a rules file for runs; n makes each edit differ.
+const standardRules = `# Rules for runs under faults.
+- {fleet: {instances-at-most: 5, ticket-life: 60s}}  # test
+- {service: {name: booking-tracking, organisation: trust, slots: 5, connections: 250, probe-budget: 10, ramp: 500ms}}  # test
+- {service: {name: stock-documents, organisation: trust, slots: 5, connections: 250, probe-budget: 10, ramp: 500ms}}  # test
+- {kind: {name: load-lookup, organisation: trust, repeatable: true, deadline: 800ms, weight: 4, hedge: true}}  # test
+- {kind: {name: stock-check, organisation: trust, repeatable: true, deadline: 1s, weight: 2}}  # test
+- {kind: {name: manual-download, organisation: trust, repeatable: true, length: long, deadline: 1s, slot-share: 0.5}}  # test
+- {kind: {name: booking, organisation: trust, repeatable: false, deadline: 1s, weight: 6}}  # test
+- {kind: {name: winch-release, organisation: trust, repeatable: false, deadline: 1s, weight: 8}}  # edit %d
+- {route: {method: GET, path: /loads, service: booking-tracking, kind: load-lookup}}  # test
+- {route: {method: POST, path: /bookings, service: booking-tracking, kind: booking}}  # test
+- {route: {method: POST, path: /releases, service: booking-tracking, kind: winch-release}}  # test
+- {route: {method: GET, path: /stock, service: stock-documents, kind: stock-check}}  # test
+- {route: {method: GET, path: /manuals, service: stock-documents, kind: manual-download}}  # test
+`
+
+// StandardRules returns the n-th edit of the rules file.
+func StandardRules(n int) string {
+	return strings.Replace(standardRules, "edit %d", fmt.Sprintf("edit %d", n), 1)
+}
+
+// StandardPlan is the plan that seeded runs share; schedule and times are added
+// by the caller.
+func StandardPlan(program, folder string, net [2]byte, seed uint64) Plan {
+	return Plan{
+		Fleet: fleet.Options{
+			Program:     program,
+			Folder:      folder,
+			Net:         net,
+			Instances:   standardInstances,
+			DataCenters: 2,
+			Rules:       StandardRules(0),
+			Targets: map[string]int{
+				"booking-tracking": 4,
+				"stock-documents":  3,
+			},
+			Behaviour: target.Behaviour{
+				Slots:       5,
+				Queue:       10,
+				Connections: 250,
+				ServiceMs:   3,
+				LongBytes:   40_000,
+				LongMs:      60,
+			},
+			Settings: "shutdown: {balancer-wait: 500ms}\nlog: {level: warn}",
+			Seed:     seed,
+		},
+		Sorts:           TrustSorts,
+		Callers:         24,
+		Pause:           10 * time.Millisecond,
+		Duration:        6 * time.Second,
+		Rules:           StandardRules,
+		ProbeBudget:     standardProbeBudget,
+		InstancesAtMost: standardAtMost,
+	}
+}
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -263,3 +263,14 @@
 	}
 	p.SetFaults(f)
 }
+
+// Last returns the highest revision of the rules.
+func (p *Platform) Last() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := uint64(0)
+	for _, r := range p.rules {
+		last = max(last, r.Revision)
+	}
+	return last
+}
