Test the decisions; keep short calls from queueing behind long ones

Cause: the tests, at their first run, found a new call queued whenever any kind waited, so short calls stood behind long ones; and a target that left the list and came back had its counts lowered by releases of its former time.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+SEEDS ?= 10
+OUT = out
+
+.PHONY: build test lint generate check-generated check-linked unit demo demo-up prove bench slopes fuzz
+
+build:
+	$(GO) build -o bin/tarragonwell .
+
+# Everything that CI checks.
+test: lint check-generated check-linked unit
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "gofmt: the files above differ"; exit 1; }
+	$(GO) vet ./...
+	$(GO) vet -tags negativecontrol ./...
+	$(TOOL) staticcheck ./...
+
+generate:
+	$(TOOL) buf generate
+
+# The generated code that is committed is what the schema generates.
+check-generated:
+	@rm -rf $(OUT)/generated
+	$(TOOL) buf generate -o $(OUT)/generated
+	diff -r $(OUT)/generated/pkg/api pkg/api
+
+# The program is linked to the C library as usual.
+check-linked: build
+	@readelf -d bin/tarragonwell | grep -q 'NEEDED.*libc\.so' || { echo "the program is not linked to the C library"; exit 1; }
+
+unit:
+	$(GO) test -race -timeout 20m ./...
+
+demo:
+	$(GO) run ./test/demo
+
+demo-up:
+	$(GO) run ./test/demo --stay
+
+# Seeded faults against whole fleets: make prove SEEDS=200
+prove:
+	$(GO) run ./test/prove --seeds $(SEEDS) --parallel 3
+
+bench:
+	$(GO) run ./test/bench --out $(OUT)/bench
+
+slopes:
+	$(GO) run ./test/slopes
+
+fuzz:
+	$(GO) test ./pkg/rulesfile -run '^$$' -fuzz FuzzParse -fuzztime 30s
+	$(GO) test ./pkg/settingsfile -run '^$$' -fuzz FuzzParse -fuzztime 30s
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -60,7 +60,6 @@
 	// fetchingRules and fetchingList bound the fetches to one at a time.
 	fetchingRules bool
 	fetchingList  bool
-	instances     int
 }
 
 type runningService struct {
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -78,7 +78,6 @@
 	rules        tarragonwell.RulesVersion
 	listRevision uint64
 	contact      time.Time
-	listed       []string
 }
 
 // New returns peers that aren't running yet.
--- /dev/null
+++ b/pkg/rulesfile/parse_test.go
@@ -0,0 +1,88 @@
+package rulesfile
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+)
+
+const valid = `# comment
+- {service: {name: s, organisation: o, slots: 5, connections: 10}}  # Ana
+- {kind: {name: read, organisation: o, repeatable: true, deadline: 300ms}}  # Ben
+- {route: {method: GET, path: /a, service: s, kind: read}}  # Ana # and Ben
+`
+
+func TestParse(t *testing.T) {
+	set, err := Parse("f", 7, []byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := set.Routes[0]
+	if got, want := r.Service.Name+" "+r.Kind.Name+" "+r.Kind.Deadline.String(), "s read 300ms"; got != want {
+		t.Errorf("route: got %q, want %q", got, want)
+	}
+	if got, want := set.Lines[2].AskedBy, "Ana # and Ben"; got != want {
+		t.Errorf("asked by: got %q, want %q", got, want)
+	}
+	if got, want := set.Version.Revision, uint64(7); got != want {
+		t.Errorf("revision: got %d, want %d", got, want)
+	}
+}
+
+func TestParseExamples(t *testing.T) {
+	for _, f := range []string{"trust", "glowbox"} {
+		content, err := os.ReadFile("../../examples/" + f + "/rules.yaml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(f, 1, content); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestRefusals holds the error of each kind of fault: file, line and field.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name, line, want string
+	}{
+		{"unknown field", "- {kind: {name: k, organisation: o, repeatable: true, deadlin: 1s}}  # x", "f:5: kind.deadlin: unknown field"},
+		{"wrong unit", "- {kind: {name: k, organisation: o, repeatable: true, deadline: 3}}  # x", "f:5: kind.deadline: want a time with its unit"},
+		{"nobody asked", "- {kind: {name: k, organisation: o, repeatable: true}}", "f:5: the comment that names who asked is missing"},
+		{"empty comment", "- {kind: {name: k, organisation: o, repeatable: true}}  #", "f:5: the comment that names who asked is missing"},
+		{"duplicate", "- {kind: {name: read, organisation: o, repeatable: true}}  # x", "f:5: kind.name: duplicate of line 3"},
+		{"duplicate field", "- {kind: {name: k, name: l, organisation: o, repeatable: true}}  # x", "f:5: "},
+		{"out of range", "- {service: {name: t, organisation: o, slots: 0, connections: 1}}  # x", "f:5: service.slots: must be between 1 and 10000"},
+		{"share", "- {service: {name: t, organisation: o, slots: 1, connections: 1, retry-ratio: 1.5}}  # x", "f:5: service.retry-ratio: must be between 0 and 1"},
+		{"no repeatable", "- {kind: {name: k, organisation: o}}  # x", "f:5: kind.repeatable: is missing"},
+		{"long and not repeatable", "- {kind: {name: k, organisation: o, repeatable: false, length: long}}  # x", "f:5: kind.length:"},
+		{"unknown service", "- {route: {path: /b, service: nope, kind: read}}  # x", `f:5: route.service: unknown service "nope"`},
+		{"two sections", "- {fleet: {ticket-life: 3s}, kind: {name: k}}  # x", "f:5: want exactly one of"},
+		{"not a rule", "kind: read  # x", "f:5: want one rule a line"},
+		{"broken YAML", "- {kind: {name: [}}  # x", "f:5: not valid YAML"},
+		{"wrong type", "- {service: {name: t, organisation: o, slots: many, connections: 1}}  # x", "f:5: service.slots: want a whole number"},
+		{"other organisation", "- {kind: {name: k, organisation: p, repeatable: true}}  # x\n- {route: {path: /b, service: s, kind: k}}  # x", "f:6: route.kind: the kind and the service belong to different organisations"},
+	}
+	for _, x := range tests {
+		_, err := Parse("f", 1, []byte(valid+x.line+"\n"))
+		if !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%s: got %v, want %q", x.name, err, x.want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("- {fleet: {instances-at-most: 3}} # x\n- [1,2"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		first, err := Parse("f", 1, content)
+		second, again := Parse("f", 1, content)
+		if (err == nil) != (again == nil) {
+			t.Errorf("the verdict changed: got %v, then %v", err, again)
+		}
+		if err == nil && len(first.Lines) != len(second.Lines) {
+			t.Errorf("got %d lines, then %d", len(first.Lines), len(second.Lines))
+		}
+	})
+}
--- /dev/null
+++ b/pkg/tarragonwell/admission/admission_test.go
@@ -0,0 +1,142 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+func kindOf(name string, weight int) *tarragonwell.Kind {
+	return &tarragonwell.Kind{
+		Name:   name,
+		Weight: weight,
+	}
+}
+
+// TestQueueSharesByWeight draws kinds with weights: while all wait, each gets
+// its share of the grants and none is starved.
+func TestQueueSharesByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue
+		count := rapid.IntRange(2, 4).Draw(t, "kinds")
+		total := 0
+		var kinds []*tarragonwell.Kind
+		for n := range count {
+			k := kindOf(fmt.Sprint(n), rapid.IntRange(1, 8).Draw(t, "weight"))
+			total += k.Weight
+			kinds = append(kinds, k)
+			for range 600 {
+				q.Push(&Waiter{
+					Kind: k,
+				})
+			}
+		}
+		grants := map[string]int{}
+		left := 300
+		q.Serve(func(w *Waiter) bool {
+			if left == 0 {
+				return false
+			}
+			left--
+			grants[w.Kind.Name]++
+			return true
+		})
+		for _, k := range kinds {
+			want := 300 * k.Weight / total
+			if got := grants[k.Name]; got < want-8 || got > want+8 {
+				t.Fatalf("kind %s of weight %d: got %d grants, want %d", k.Name, k.Weight, got, want)
+			}
+		}
+		if got, want := q.Len(), 600*count-300; got != want {
+			t.Fatalf("left: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestQueueKeepsOrderAndPassesBlockedKinds(t *testing.T) {
+	var q Queue
+	blocked, free := kindOf("blocked", 9), kindOf("free", 1)
+	for n := range uint64(3) {
+		q.Push(&Waiter{
+			ID:   n,
+			Kind: blocked,
+		})
+		q.Push(&Waiter{
+			ID:   10 + n,
+			Kind: free,
+		})
+	}
+	var got []uint64
+	q.Serve(func(w *Waiter) bool {
+		if w.Kind == blocked {
+			return false
+		}
+		got = append(got, w.ID)
+		return true
+	})
+	if want := []uint64{10, 11, 12}; fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	dropped := q.Remove(func(w *Waiter) bool { return w.ID == 1 })
+	if got, want := len(dropped)*10+q.Len(), 12; got != want {
+		t.Errorf("dropped and left: got %d, want %d", got, want)
+	}
+}
+
+// TestBudgetsHold draws histories: retries never pass the ratio by more than
+// the floor and burst, and the limit never leaves its range.
+func TestBudgetsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := RetryBudget{
+			Ratio: rapid.Float64Range(0, 1).Draw(t, "ratio"),
+		}
+		var l Limiter
+		l.Start(rapid.Float64Range(0, 50).Draw(t, "limit"))
+		now := time.Unix(1, 0)
+		calls, retries := 0, 0
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "act") {
+			case 0:
+				b.Earn()
+				calls++
+				l.Succeed(int(l.Limit))
+			case 1:
+				l.Congest(now, time.Millisecond)
+			default:
+				if b.Spend() {
+					retries++
+				}
+			}
+			if limit := float64(calls)*b.Ratio + retryFloor; float64(retries) > limit+1e-9 {
+				t.Fatalf("got %d retries for %d calls at ratio %v", retries, calls, b.Ratio)
+			}
+			if l.Limit < minLimit || l.Limit > maxLimit {
+				t.Fatalf("got limit %v", l.Limit)
+			}
+		}
+	})
+}
+
+func TestProbeInterval(t *testing.T) {
+	tests := []struct {
+		name                  string
+		budget                float64
+		atMost, listed, known int
+		want                  time.Duration
+	}{
+		{"none allowed", 0, 16, 16, 16, 0},
+		{"by the rules", 4, 16, 3, 1, 4 * time.Second},
+		{"more are listed than the rules say", 4, 16, 32, 1, 8 * time.Second},
+		{"zero counts", 2, 0, 0, 0, 500 * time.Millisecond},
+	}
+	for _, x := range tests {
+		if got := ProbeInterval(x.budget, x.atMost, x.listed, x.known); got != x.want {
+			t.Errorf("%s: got %v, want %v", x.name, got, x.want)
+		}
+	}
+}
--- a/pkg/tarragonwell/admission/queue.go
+++ b/pkg/tarragonwell/admission/queue.go
@@ -44,6 +44,14 @@
 	return q.length
 }
 
+// LenOf returns the number of waiting calls of a kind.
+func (q *Queue) LenOf(kind *tarragonwell.Kind) int {
+	if k := q.find(kind.Name); k != nil {
+		return len(k.waiters)
+	}
+	return 0
+}
+
 // Push adds a call. It returns false where the kind's queue is full.
 func (q *Queue) Push(w *Waiter) bool {
 	k := q.find(w.Kind.Name)
--- /dev/null
+++ b/pkg/tarragonwell/operation/table_test.go
@@ -0,0 +1,215 @@
+package operation
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func openTable(n byte) *Table {
+	t := &Table{
+		Home: "127.0.0.1:1",
+	}
+	t.Open(start, tarragonwell.Incarnation{n}, []byte{n})
+	return t
+}
+
+func mintOne(t testing.TB, table *Table, now time.Time) tarragonwell.Ticket {
+	t.Helper()
+	tickets, err := table.Mint(now, 1, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tickets[0]
+}
+
+func complete() tarragonwell.StoredResult {
+	return tarragonwell.StoredResult{
+		Outcome: tarragonwell.OutcomeComplete,
+		Status:  200,
+		Body:    []byte("done"),
+	}
+}
+
+func TestBeginDispatchesOnce(t *testing.T) {
+	table := openTable(1)
+	k := mintOne(t, table, start)
+	print := Fingerprint("POST", "/releases", nil)
+	if got, want := table.Begin(start, k, print).Action, ActionDispatch; got != want {
+		t.Errorf("first: got %v, want %v", got, want)
+	}
+	if got, want := table.Begin(start, k, print).Action, ActionWait; got != want {
+		t.Errorf("while running: got %v, want %v", got, want)
+	}
+	table.Finish(k, complete())
+	v := table.Begin(start, k, print)
+	if got, want := v.Action, ActionTell; got != want {
+		t.Errorf("after: got %v, want %v", got, want)
+	}
+	if got, want := string(v.Result.Body), "done"; got != want {
+		t.Errorf("answer: got %q, want %q", got, want)
+	}
+}
+
+func TestVerdictsWithoutDispatch(t *testing.T) {
+	table := openTable(1)
+	used := mintOne(t, table, start)
+	table.Begin(start, used, Fingerprint("POST", "/a", nil))
+	table.Finish(used, complete())
+	forged := mintOne(t, table, start)
+	forged.Sequence++
+	foreign := mintOne(t, openTable(2), start)
+	voided := mintOne(t, table, start)
+	table.Void(start, voided)
+	expired := mintOne(t, table, start)
+
+	tests := []struct {
+		name    string
+		ticket  tarragonwell.Ticket
+		now     time.Time
+		action  Action
+		outcome tarragonwell.Outcome
+	}{
+		{"other request", used, start, ActionTell, tarragonwell.OutcomeNotRun},
+		{"forged", forged, start, ActionTell, tarragonwell.OutcomeNotRun},
+		{"other incarnation", foreign, start, ActionForward, tarragonwell.OutcomeUnspecified},
+		{"given up", voided, start, ActionTell, tarragonwell.OutcomeNotRun},
+		{"expired", expired, start.Add(time.Hour), ActionTell, tarragonwell.OutcomeUnknown},
+	}
+	for _, x := range tests {
+		v := table.Begin(x.now, x.ticket, Fingerprint("POST", "/b", nil))
+		if got, want := v.Action, x.action; got != want {
+			t.Errorf("%s: got action %v, want %v", x.name, got, want)
+		}
+		if got, want := v.Result.Outcome, x.outcome; got != want {
+			t.Errorf("%s: got %v, want %v", x.name, got, want)
+		}
+	}
+}
+
+func TestMintIsBounded(t *testing.T) {
+	table := openTable(1)
+	table.MaxEntries = 3
+	if _, err := table.Mint(start, 3, time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	_, err := table.Mint(start, 1, time.Minute)
+	if got, want := errors.Is(err, ErrFull), true; got != want {
+		t.Errorf("over the bound: got %v", err)
+	}
+	// Tickets that have expired make room.
+	if _, err := table.Mint(start.Add(2*time.Minute), 3, time.Minute); err != nil {
+		t.Errorf("after expiry: got %v", err)
+	}
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	table := openTable(1)
+	table.MaxBytes = 5
+	first, second := mintOne(t, table, start), mintOne(t, table, start)
+	for _, k := range []tarragonwell.Ticket{first, second} {
+		table.Begin(start, k, nil)
+		table.Finish(k, complete())
+	}
+	if got, want := table.Ask(start, first).Result.Outcome, tarragonwell.OutcomeComplete; got != want {
+		t.Errorf("first: got %v, want %v", got, want)
+	}
+	if got, want := table.Ask(start, second).Result.Reason, ReasonNotKept; got != want {
+		t.Errorf("second: got %q, want %q", got, want)
+	}
+	table.Expire(start.Add(time.Hour))
+	entries, size := table.Size()
+	if got, want := entries+size, 0; got != want {
+		t.Errorf("after expiry: got %d entries and bytes, want %d", got, want)
+	}
+}
+
+// TestHandOverHasOneHolder draws histories of requests, stops and hand-overs
+// over a chain of tables: no ticket is dispatched twice, whatever copies of a
+// hand-over arrive again.
+func TestHandOverHasOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		tables := []*Table{openTable(1), openTable(2), openTable(3), openTable(4)}
+		var tickets []tarragonwell.Ticket
+		dispatched := map[uint64]int{}
+		var sent []tarragonwell.OperationHandOver
+		current := 0
+		for range 40 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "act") {
+			case 0:
+				if k, err := tables[0].Mint(now, 1, 30*time.Second); err == nil {
+					tickets = append(tickets, k[0])
+				}
+			case 1, 2, 3:
+				if len(tickets) == 0 {
+					continue
+				}
+				k := tickets[rapid.IntRange(0, len(tickets)-1).Draw(t, "ticket")]
+				for _, x := range tables {
+					if x.Begin(now, k, nil).Action == ActionDispatch {
+						dispatched[k.Sequence]++
+						x.Finish(k, complete())
+					}
+				}
+			case 4:
+				if current == len(tables)-1 {
+					continue
+				}
+				sent = append(sent, tables[current].Close(now)...)
+				current++
+				for _, o := range sent {
+					if o.Incarnation == (tarragonwell.Incarnation{1}) && int(o.Generation) == current {
+						_ = tables[current].Adopt(now, o)
+					}
+				}
+			case 5:
+				// A copy of a hand-over arrives again where it was sent to.
+				for _, o := range sent {
+					if o.Incarnation == (tarragonwell.Incarnation{1}) {
+						_ = tables[o.Generation].Adopt(now, o)
+					}
+				}
+			}
+		}
+		for sequence, n := range dispatched {
+			if n > 1 {
+				t.Fatalf("ticket %d: got %d dispatches, want 1", sequence, n)
+			}
+		}
+	})
+}
+
+func TestHandOverKeepsOutcomes(t *testing.T) {
+	home, successor := openTable(1), openTable(2)
+	used, unused := mintOne(t, home, start), mintOne(t, home, start)
+	running := mintOne(t, home, start)
+	home.Begin(start, used, nil)
+	home.Finish(used, complete())
+	home.Begin(start, running, nil)
+	later := start.Add(10 * time.Second)
+	for _, o := range home.Close(later) {
+		if err := successor.Adopt(later, o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := home.Begin(later, unused, nil).Action, ActionForward; got != want {
+		t.Errorf("at the home: got %v, want %v", got, want)
+	}
+	if got, want := string(successor.Begin(later, used, nil).Result.Body), "done"; got != want {
+		t.Errorf("used: got %q, want %q", got, want)
+	}
+	if got, want := successor.Begin(later, running, nil).Result.Outcome, tarragonwell.OutcomeUnknown; got != want {
+		t.Errorf("running: got %v, want %v", got, want)
+	}
+	if got, want := successor.Begin(later, unused, nil).Action, ActionDispatch; got != want {
+		t.Errorf("unused: got %v, want %v", got, want)
+	}
+}
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -40,7 +40,9 @@
 
 // Release gives back what a Grant gave.
 type Release struct {
-	Target  string
+	Target string
+	// Join is the grant's.
+	Join    uint64
 	Kind    *tarragonwell.Kind
 	End     End
 	Latency time.Duration
@@ -67,13 +69,13 @@
 func (s *Scheduler) Release(now time.Time, r Release) {
 	s.inFlight--
 	t := s.find(r.Target)
-	if t == nil {
+	if t == nil || t.Join != r.Join {
+		// The target has left, or has left and come back.
 		return
 	}
-	// A target that left the list and came back has lost its counts.
-	t.InFlight = max(0, t.InFlight-1)
+	t.InFlight--
 	if r.Kind.Long {
-		t.InFlightLong = max(0, t.InFlightLong-1)
+		t.InFlightLong--
 	}
 	if r.Load != nil {
 		s.TakeLoad(now, t.Address, *r.Load)
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -40,6 +40,8 @@
 	grants rateMeter
 	// eligible is reused between calls.
 	eligible []*tarragonwell.TargetState
+	// joins counts the targets that have joined.
+	joins uint64
 }
 
 // Request asks for a target.
@@ -59,6 +61,8 @@
 type Grant struct {
 	ID     uint64
 	Target string
+	// Join is the target's, for the Release.
+	Join uint64
 	// HedgeAfter is the time after which a second target may be tried.
 	HedgeAfter time.Duration
 }
@@ -139,8 +143,10 @@
 // join adds a target. At the start of the instance all targets are taken as
 // warm, for the rest of the fleet has used them before.
 func (s *Scheduler) join(now time.Time, l tarragonwell.ListedTarget, warm bool) {
+	s.joins++
 	t := &tarragonwell.TargetState{
 		Address:    l.Address,
+		Join:       s.joins,
 		DataCenter: l.DataCenter,
 		Local:      l.DataCenter == s.options.DataCenter,
 		Slots:      s.options.Service.Slots,
@@ -199,7 +205,8 @@
 		Exclude:  r.Exclude,
 		Since:    now,
 	}
-	if s.queue.Len() == 0 || r.NoWait {
+	// Other kinds may wait for targets that this one does not need.
+	if s.queue.LenOf(r.Kind) == 0 || r.NoWait {
 		if g := s.tryGrant(now, w); g != nil {
 			return Decision{
 				Grant: g,
@@ -310,6 +317,7 @@
 	return &Grant{
 		ID:         w.ID,
 		Target:     usable[i].Address,
+		Join:       usable[i].Join,
 		HedgeAfter: s.stats(w.Kind).hedgeDelay(),
 	}
 }
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -30,7 +30,9 @@
 // TargetState is what an instance knows of one target. The service's task owns
 // it; the choosers only read it.
 type TargetState struct {
-	Address    string
+	Address string
+	// Join tells the times apart that a target has joined.
+	Join       uint64
 	DataCenter string
 	// Local says that the target is in the instance's own data centre.
 	Local bool
--- a/test/history/workload.go
+++ b/test/history/workload.go
@@ -83,6 +83,43 @@
 	},
 }
 
+// GlowboxSorts are the requests of Glowbox.
+var GlowboxSorts = []Sort{
+	{
+		Kind: "box-check",
+		Method: http.MethodGet,
+		Path: "/boxes/%s",
+		Weight: 8,
+	},
+	{
+		Kind: "store-read",
+		Method: http.MethodGet,
+		Path: "/store/%s",
+		Weight: 4,
+	},
+	{
+		Kind: "download",
+		Method: http.MethodGet,
+		Path: "/catalogs/winter-%d",
+		Weight: 1,
+		Long: true,
+	},
+	{
+		Kind: "renewal",
+		Method: http.MethodPost,
+		Path: "/renewals/%s",
+		Weight: 4,
+		Ticketed: true,
+	},
+	{
+		Kind: "pause",
+		Method: http.MethodPost,
+		Path: "/pauses/%s",
+		Weight: 2,
+		Ticketed: true,
+	},
+}
+
 // Workload sends requests from many callers until its context ends.
 type Workload struct {
 	Sorts []Sort
