Bound calls in flight by a share of the slots

Cause: TestNewTargetIsRamped got 3 of 5 calls: the limit was set once, from the targets known at the start, and did not follow the list. Change: the limiter holds a share of all slots. Measured: the test failed before and passes now.

--- a/pkg/tarragonwell/admission/admission_test.go
+++ b/pkg/tarragonwell/admission/admission_test.go
@@ -95,7 +95,7 @@
 			Ratio: rapid.Float64Range(0, 1).Draw(t, "ratio"),
 		}
 		var l Limiter
-		l.Start(rapid.Float64Range(0, 50).Draw(t, "limit"))
+		slots := rapid.IntRange(0, 200).Draw(t, "slots")
 		now := time.Unix(1, 0)
 		calls, retries := 0, 0
 		for range 200 {
@@ -104,7 +104,7 @@
 			case 0:
 				b.Earn()
 				calls++
-				l.Succeed(int(l.Limit))
+				l.Succeed(int(l.Limit(slots)), slots)
 			case 1:
 				l.Congest(now, time.Millisecond)
 			default:
@@ -115,8 +115,8 @@
 			if limit := float64(calls)*b.Ratio + retryFloor; float64(retries) > limit+1e-9 {
 				t.Fatalf("got %d retries for %d calls at ratio %v", retries, calls, b.Ratio)
 			}
-			if l.Limit < minLimit || l.Limit > maxLimit {
-				t.Fatalf("got limit %v", l.Limit)
+			if got := l.Limit(slots); got < minLimit || got > max(minLimit, maxShare*float64(slots)) {
+				t.Fatalf("got limit %v for %d slots", got, slots)
 			}
 		}
 	})
--- a/pkg/tarragonwell/admission/limiter.go
+++ b/pkg/tarragonwell/admission/limiter.go
@@ -3,39 +3,36 @@
 import "time"
 
 const (
+	// minLimit is the number of calls in flight that is always allowed.
 	minLimit = 2
-	maxLimit = 100_000
+	// maxShare is in parts of all slots: a lone instance may fill each slot and
+	// keep as many calls waiting at the targets.
+	maxShare = 2.0
 	// decrease is the factor on congestion, at most once in a latency.
 	decrease = 0.8
 	// minDecreaseGap is the shortest time between two decreases.
 	minDecreaseGap = 10 * time.Millisecond
 )
 
-// Limiter bounds the calls in flight to a service. It grows with calls that
-// succeed while the limit is in use and shrinks when targets shed or time out.
-// The zero value begins at the first limit that Start sets.
+// Limiter bounds the calls in flight to a service, as a share of the slots of
+// all its targets. It grows with calls that succeed while the limit is in use
+// and shrinks when targets shed. The zero value allows the highest share.
 type Limiter struct {
-	// Limit is at least minLimit once started.
-	Limit     float64
+	// cut is what has been taken off maxShare, from 0 to below maxShare.
+	cut       float64
 	decreased time.Time
 }
 
-// Start sets the first limit, once.
-func (l *Limiter) Start(limit float64) {
-	if l.Limit == 0 {
-		l.Limit = min(maxLimit, max(minLimit, limit))
-	}
-}
-
-// Allows reports whether one more call may be in flight.
-func (l *Limiter) Allows(inFlight int) bool {
-	return float64(inFlight) < l.Limit
+// Limit returns the number of calls that may be in flight for so many slots.
+func (l *Limiter) Limit(slots int) float64 {
+	return max(minLimit, (maxShare-l.cut)*float64(slots))
 }
 
 // Succeed takes in a call that succeeded with inFlight calls about.
-func (l *Limiter) Succeed(inFlight int) {
-	if float64(inFlight) >= l.Limit/2 {
-		l.Limit = min(maxLimit, l.Limit+1/l.Limit)
+func (l *Limiter) Succeed(inFlight, slots int) {
+	limit := l.Limit(slots)
+	if slots > 0 && float64(inFlight) >= limit/2 {
+		l.cut = max(0, l.cut-1/limit/float64(slots))
 	}
 }
 
@@ -45,5 +42,5 @@
 		return
 	}
 	l.decreased = now
-	l.Limit = max(minLimit, l.Limit*decrease)
+	l.cut = maxShare - (maxShare-l.cut)*decrease
 }
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -103,7 +103,7 @@
 	}
 	t.Progress = now
 	s.learn(t, r)
-	s.limiter.Succeed(s.inFlight)
+	s.limiter.Succeed(s.inFlight, s.slots())
 }
 
 // learn takes in the latency of a short call.
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -136,7 +136,6 @@
 		s.find(l.Address).ListedLeaving = l.Leaving
 	}
 	s.rank()
-	s.limiter.Start(float64(2 * len(s.targets) * s.options.Service.Slots))
 	return joined, left
 }
 
@@ -295,7 +294,12 @@
 
 // Limit returns the present limit on calls in flight.
 func (s *Scheduler) Limit() float64 {
-	return s.limiter.Limit
+	return s.limiter.Limit(s.slots())
+}
+
+// slots counts the slots of all targets.
+func (s *Scheduler) slots() int {
+	return len(s.targets) * s.options.Service.Slots
 }
 
 // Targets returns the states, for reports.
@@ -306,7 +310,7 @@
 // tryGrant picks a target for a call, or returns nil to hold it.
 func (s *Scheduler) tryGrant(now time.Time, w *admission.Waiter) *Grant {
 	usable := s.usable(now, w)
-	if len(usable) == 0 || !s.limiter.Allows(s.inFlight) {
+	if len(usable) == 0 || float64(s.inFlight) >= s.Limit() {
 		return nil
 	}
 	i := s.options.Chooser.Choose(now, s.choiceInput(w.Kind), usable)
