Prove each safeguard with a run that breaks without it

Cause: a check that never fails proves nothing. Change: programs built with the tag negativecontrol can switch one safeguard off; nine scenarios run with all safeguards and without their own. Instances read the platform plainly after an outage, when it may have been restored. Rules are followed by the audit trails, as polling missed reverts that lasted milliseconds.

--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -7,6 +7,10 @@
 type Safeguard string
 
 const (
+	// Variable is the environment variable that names the safeguard to switch
+	// off in programs built for it.
+	Variable = "TARRAGONWELL_WITHOUT"
+
 	// TicketHome lets only the home of a ticket dispatch it.
 	TicketHome Safeguard = "ticket-home"
 	// SingleSend keeps the transport and the retries from repeating what must
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -46,7 +46,8 @@
 			sleep(ctx, idleInterval/2+rand.N(idleInterval))
 			continue
 		}
-		plain := n%plainReadEvery == 0
+		// After an outage the platform may show what it was restored from.
+		plain := n%plainReadEvery == 0 || backoff > 0
 		if err := w.Read(ctx, plain, s.WatchWait); err != nil {
 			backoff = min(max(firstBackoff, 2*backoff), s.BackoffLimit)
 			w.Common.Log.Debug("platform read failed", "value", w.Name, "error", err)
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -132,4 +132,3 @@
 		p.Kill()
 	}
 }
-
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -128,6 +128,8 @@
 			return err
 		}
 	}
+	// The lag is for changes; the fleet begins with the balancer up to date.
+	f.Balancer.SetInstances(f.Addresses())
 	return nil
 }
 
--- a/test/history/check.go
+++ b/test/history/check.go
@@ -172,43 +172,28 @@
 	return nil
 }
 
-// CheckLeaving checks that a target ran nothing that began later than grace
-// after it left.
-func CheckLeaving(address string, left time.Time, grace time.Duration, runs []target.Run) []Violation {
-	var out []Violation
-	for _, r := range runs {
-		if at := time.UnixMicro(r.UnixMicro); r.Target == address && at.After(left.Add(grace)) {
-			out = append(out, Violation{
-				Promise: PromiseLeaving,
-				Detail:  fmt.Sprintf("%s ran %s %v after it left", address, r.Operation, at.Sub(left)),
-			})
-		}
-	}
-	return out
-}
-
-// RulesSeen is one look at the rules that an instance has in force.
+// RulesSeen is one coming into force of rules on an instance.
 type RulesSeen struct {
 	Instance string
-	// Incarnation tells the lives of an instance apart.
-	Incarnation string
-	At          time.Time
-	Version     tarragonwell.RulesVersion
+	At       time.Time
+	// Sequence orders what one life of an instance did within a millisecond.
+	Sequence uint64
+	Revision uint64
 }
 
 // CheckRules checks that no instance goes back to older rules, also not over a
 // restart.
 func CheckRules(seen []RulesSeen) []Violation {
 	slices.SortStableFunc(seen, func(a, b RulesSeen) int {
-		return cmp.Or(cmp.Compare(a.Instance, b.Instance), a.At.Compare(b.At))
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), a.At.Compare(b.At), cmp.Compare(a.Sequence, b.Sequence))
 	})
 	var out []Violation
 	for n := 1; n < len(seen); n++ {
 		a, b := seen[n-1], seen[n]
-		if a.Instance == b.Instance && a.Version.After(b.Version) {
+		if a.Instance == b.Instance && a.Revision > b.Revision {
 			out = append(out, Violation{
 				Promise: PromiseRules,
-				Detail:  fmt.Sprintf("%s went from revision %d back to %d", a.Instance, a.Version.Revision, b.Version.Revision),
+				Detail:  fmt.Sprintf("%s went from revision %d back to %d", a.Instance, a.Revision, b.Revision),
 			})
 		}
 	}
--- /dev/null
+++ b/test/history/control_test.go
@@ -0,0 +1,204 @@
+package history
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/control"
+	"github.com/tarragonwell/tarragonwell/test/fleet"
+	"github.com/tarragonwell/tarragonwell/test/standin/target"
+)
+
+// programs are the two builds: with every safeguard in force, and one in which
+// a safeguard can be switched off.
+var programs struct {
+	normal  string
+	control string
+}
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "history")
+	if err != nil {
+		panic(err)
+	}
+	programs.normal, err = fleet.Build(folder, "normal", ".")
+	if err != nil {
+		panic(err)
+	}
+	programs.control, err = fleet.Build(folder, "control", ".", "-tags", "negativecontrol")
+	if err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// scenario is a small run that one safeguard is there for.
+type scenario struct {
+	safeguard control.Safeguard
+	promise   string
+	plan      func(p *Plan)
+}
+
+func always(set func(*target.Behaviour)) func(*Plan) {
+	return func(p *Plan) {
+		set(&p.Fleet.Behaviour)
+	}
+}
+
+// scenarios hold for each safeguard a run that breaks its promise without it.
+var scenarios = []scenario{
+	{
+		safeguard: control.TicketHome,
+		promise:   PromiseAtMostOnce,
+		plan:      func(*Plan) {},
+	},
+	{
+		safeguard: control.SingleSend,
+		promise:   PromiseAtMostOnce,
+		plan:      always(func(b *target.Behaviour) { b.CloseAfterRun = 0.3 }),
+	},
+	{
+		safeguard: control.TruthfulNotRun,
+		promise:   PromiseNotRun,
+		plan:      always(func(b *target.Behaviour) { b.CloseAfterRun = 0.3 }),
+	},
+	{
+		safeguard: control.VisibleCut,
+		promise:   PromiseWholeAnswer,
+		plan: always(func(b *target.Behaviour) {
+			b.Truncate = 0.5
+			b.Chunked = true
+		}),
+	},
+	{
+		safeguard: control.AnswerIdentity,
+		promise:   PromiseWholeAnswer,
+		plan:      always(func(b *target.Behaviour) { b.Swap = 0.3 }),
+	},
+	{
+		safeguard: control.GracefulStop,
+		promise:   PromiseStop,
+		plan: func(p *Plan) {
+			p.ThroughBalancer = true
+			p.NothingBroken = true
+			p.Act = stopEach
+		},
+	},
+	{
+		safeguard: control.NewestRules,
+		promise:   PromiseRules,
+		plan: func(p *Plan) {
+			p.Act = editThenStale
+		},
+	},
+	{
+		safeguard: control.LeavingWord,
+		promise:   PromiseLeaving,
+		plan: func(p *Plan) {
+			p.Act = drainOne
+			p.LeavingGrace = time.Second
+		},
+	},
+	{
+		safeguard: control.ProbeBudget,
+		promise:   PromiseProbes,
+		plan:      func(*Plan) {},
+	},
+}
+
+// stopEach stops every instance in turn, while the balancer's list lags.
+func stopEach(_ context.Context, j *Injector) {
+	for _, i := range j.Fleet.Instances {
+		j.PlannedStop(i)
+	}
+}
+
+// editThenStale publishes edits; after an outage the platform shows an older
+// file.
+func editThenStale(ctx context.Context, j *Injector) {
+	for range 3 {
+		j.Edit()
+		sleep(ctx, 300*time.Millisecond)
+	}
+	j.setPlatform(FaultPlatformOld, true)
+	j.setPlatform(FaultPlatformDown, true)
+	sleep(ctx, 700*time.Millisecond)
+	j.setPlatform(FaultPlatformDown, false)
+	sleep(ctx, 2*time.Second)
+	j.setPlatform(FaultPlatformOld, false)
+}
+
+// drainOne lets one target leave by its own word; the list goes on to show it.
+func drainOne(ctx context.Context, j *Injector) {
+	sleep(ctx, time.Second)
+	j.Drain(j.Fleet.Targets["booking-tracking"][0])
+}
+
+// runs counts the fleets, so that each has its own addresses.
+var runs byte
+
+func execute(t *testing.T, s scenario, program string, environment ...string) *Report {
+	t.Helper()
+	runs++
+	plan := StandardPlan(program, t.TempDir(), [2]byte{80, runs}, 1)
+	plan.Fleet.Environment = environment
+	plan.Fleet.BalancerLag = 200 * time.Millisecond
+	plan.Duration = 4 * time.Second
+	plan.Faults = nil
+	s.plan(&plan)
+	r, err := Execute(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func count(r *Report, promise string) int {
+	n := 0
+	for _, v := range r.Violations {
+		if v.Promise == promise {
+			n++
+		}
+	}
+	return n
+}
+
+// TestSafeguards runs each scenario twice: with all safeguards nothing is
+// broken; without the scenario's own, its check must see it.
+func TestSafeguards(t *testing.T) {
+	for _, s := range scenarios {
+		t.Run(string(s.safeguard), func(t *testing.T) {
+			r := execute(t, s, programs.normal)
+			for _, v := range r.Violations {
+				t.Errorf("with all safeguards: %s: %s", v.Promise, v.Detail)
+			}
+			r = execute(t, s, programs.control, control.Variable+"="+string(s.safeguard))
+			if got := count(r, s.promise); got == 0 {
+				t.Errorf("without %s: got no violation of %s, want some", s.safeguard, s.promise)
+			} else {
+				t.Logf("without %s: %d violations of %s", s.safeguard, got, s.promise)
+			}
+		})
+	}
+}
+
+// TestSeededFaults runs a short fixed set of seeds; make prove runs more.
+func TestSeededFaults(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		plan := StandardPlan(programs.normal, t.TempDir(), [2]byte{81, byte(seed)}, seed)
+		plan.Duration = 4 * time.Second
+		plan.Faults = Schedule(seed, AllFaults, 10, plan.Duration)
+		r, err := Execute(plan)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range r.Violations {
+			t.Errorf("seed %d: %s: %s", seed, v.Promise, v.Detail)
+		}
+		t.Logf("seed %d: %d calls, %d runs", seed, len(r.Calls), len(r.Runs))
+	}
+}
--- a/test/history/faults.go
+++ b/test/history/faults.go
@@ -113,6 +113,17 @@
 	all.Wait()
 }
 
+// Drain lets a target leave for good. The platform's list goes on to show it.
+func (j *Injector) Drain(t *target.Target) {
+	t.Change(func(b *target.Behaviour) { b.Draining = true })
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.left == nil {
+		j.left = map[string]time.Time{}
+	}
+	j.left[t.Address] = time.Now()
+}
+
 // Left returns when targets began to drain for good.
 func (j *Injector) Left() map[string]time.Time {
 	j.mu.Lock()
--- a/test/history/run.go
+++ b/test/history/run.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
-	"encoding/hex"
+	"fmt"
 	"sync"
 	"time"
 
-	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"connectrpc.com/connect"
+
+	"github.com/tarragonwell/tarragonwell/internal/operator"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/test/fleet"
 	"github.com/tarragonwell/tarragonwell/test/standin/target"
 )
@@ -29,6 +32,9 @@
 	ProbeBudget float64
 	// InstancesAtMost is the rules' bound.
 	InstancesAtMost int
+	// LeavingGrace is how long after its word a target may get new work; 0 means
+	// three seconds.
+	LeavingGrace time.Duration
 	// NothingBroken says that no caller may see a broken connection.
 	NothingBroken bool
 }
@@ -87,7 +93,7 @@
 	for _, t := range f.AllTargets() {
 		r.Runs = append(r.Runs, t.Runs()...)
 	}
-	r.Violations = p.check(f, r, watch)
+	r.Violations = append(p.check(f, r, watch), p.checkLeaving(f, j)...)
 	return r, nil
 }
 
@@ -134,10 +140,37 @@
 	return out
 }
 
+// defaultLeavingGrace is the stated few seconds.
+const defaultLeavingGrace = 3 * time.Second
+
+// checkLeaving checks that targets which left for good were sent nothing after
+// the grace. A draining target refuses what it is sent, so arrivals count.
+func (p Plan) checkLeaving(f *fleet.Fleet, j *Injector) []Violation {
+	grace := p.LeavingGrace
+	if grace == 0 {
+		grace = defaultLeavingGrace
+	}
+	left := j.Left()
+	var out []Violation
+	for _, t := range f.AllTargets() {
+		at, gone := left[t.Address]
+		if !gone {
+			continue
+		}
+		if n := t.ArrivedAfter(at.Add(grace)); n > 0 {
+			out = append(out, Violation{
+				Promise: PromiseLeaving,
+				Detail:  fmt.Sprintf("%s was sent %d calls later than %v after it left", t.Address, n, grace),
+			})
+		}
+	}
+	return out
+}
+
 // probeMargin allows for the network between an instance and a target.
 const probeMargin = 0.95
 
-// rulesWatch looks at the rules that each instance has in force.
+// rulesWatch follows the audit trails for the rules that come into force.
 type rulesWatch struct {
 	mu   sync.Mutex
 	seen []RulesSeen
@@ -148,7 +181,7 @@
 	for _, i := range f.Instances {
 		all.Go(func() {
 			for ctx.Err() == nil {
-				w.look(i)
+				w.follow(ctx, i)
 				sleep(ctx, rulesPoll)
 			}
 		})
@@ -156,27 +189,42 @@
 	all.Wait()
 }
 
-// look records what an instance says. Only one that serves counts: before that
-// it takes no calls.
-func (w *rulesWatch) look(i *fleet.Instance) (tarragonwell.RulesVersion, bool) {
-	s, err := i.Status()
-	if err != nil || s.GetState() != "serving" {
-		return tarragonwell.RulesVersion{}, false
+// follow reads one life of an instance's trail. What is accepted before the
+// instance serves does not count: until then it takes no calls.
+func (w *rulesWatch) follow(ctx context.Context, i *fleet.Instance) {
+	request := &pb.AuditRequest{
+		Follow: true,
 	}
-	digest, _ := hex.DecodeString(s.GetRulesDigest())
-	v := tarragonwell.RulesVersion{
-		Revision: s.GetRulesRevision(),
-		Digest:   digest,
+	stream, err := operator.NewClient(i.Operators()).Audit(ctx, connect.NewRequest(request))
+	if err != nil {
+		return
 	}
+	defer stream.Close()
+	serving := false
+	for stream.Receive() {
+		r := stream.Msg().GetRecord()
+		switch r.GetEvent() {
+		case "instance-serving":
+			serving = true
+		case "rules-accepted":
+		default:
+			continue
+		}
+		if serving {
+			w.add(i, r)
+		}
+	}
+}
+
+func (w *rulesWatch) add(i *fleet.Instance, r *pb.AuditRecord) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seen = append(w.seen, RulesSeen{
-		Instance:    i.Host,
-		Incarnation: s.GetIncarnation(),
-		At:          time.Now(),
-		Version:     v,
+		Instance: i.Host,
+		At:       time.UnixMilli(r.GetTimeUnixMs()),
+		Sequence: r.GetSequence(),
+		Revision: r.GetRevision(),
 	})
-	return v, true
 }
 
 func (w *rulesWatch) all() []RulesSeen {
@@ -201,8 +249,8 @@
 func (w *rulesWatch) agree(f *fleet.Fleet) bool {
 	last := f.Platform.Last()
 	for _, i := range f.Instances {
-		v, ok := w.look(i)
-		if !ok || v.Revision != last {
+		s, err := i.Status()
+		if err != nil || s.GetState() != "serving" || s.GetRulesRevision() != last {
 			return false
 		}
 	}
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		panic(err)
 	}
-	program, err = fleet.Build(folder, "tarragonwell", ".")
+	program, err = fleet.Build(folder, "tarragonwell", ".", "-race")
 	if err != nil {
 		panic(err)
 	}
@@ -70,7 +70,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(f.Close)
+	t.Cleanup(func() {
+		for _, line := range f.Logs("DATA RACE") {
+			t.Error(line)
+		}
+		f.Close()
+	})
 	return f
 }
 
--- a/test/standin/target/serve.go
+++ b/test/standin/target/serve.go
@@ -33,7 +33,7 @@
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
-	t.requests++
+	t.arrivals = append(t.arrivals, time.Now().UnixMicro())
 	t.mu.Unlock()
 	c := &call{
 		target:    t,
--- a/test/standin/target/target.go
+++ b/test/standin/target/target.go
@@ -86,7 +86,8 @@
 	waiting   []chan struct{}
 	runs      []Run
 	probes    []int64
-	requests  uint64
+	// arrivals holds the times of all calls, probes left out.
+	arrivals []int64
 	// thaw is closed when a frozen target goes on.
 	thaw   chan struct{}
 	random *rand.Rand
@@ -173,11 +174,17 @@
 	return out
 }
 
-// Requests counts the calls that arrived, probes left out.
-func (t *Target) Requests() uint64 {
+// ArrivedAfter counts the calls that arrived after a time.
+func (t *Target) ArrivedAfter(limit time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.requests
+	n := 0
+	for _, a := range t.arrivals {
+		if a > limit.UnixMicro() {
+			n++
+		}
+	}
+	return n
 }
 
 // frozen waits while the target is frozen.
