Confirm the targets after a pause; bound retries over all depths

Cause: a process that was frozen would wake with grants to make from an old list; and a POST without a body that must not repeat went out chunked. Change: a service's task notices a gap in its own turns and holds all grants until the list has been read anew, or a second has passed; the split of retries over depths is pure and tested 9 deep; empty bodies go out as such.

--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -28,6 +28,8 @@
 	NewestRules Safeguard = "newest-rules"
 	// LeavingWord takes a leaving target's own word at once.
 	LeavingWord Safeguard = "leaving-word"
+	// PauseCheck confirms the targets after the process was paused.
+	PauseCheck Safeguard = "pause-check"
 	// ProbeBudget divides the probes by the whole fleet.
 	ProbeBudget Safeguard = "probe-budget"
 )
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -21,7 +21,10 @@
 const (
 	documentsMailbox = 256
 	fetchTimeout     = 2 * time.Second
-	fromPlatform     = "platform"
+	confirmTimeout   = 900 * time.Millisecond
+	// confirmPeers is how many peers are asked after a pause.
+	confirmPeers = 3
+	fromPlatform = "platform"
 	// rulesName stands for the rules file in errors.
 	rulesName = "rules"
 )
@@ -29,9 +32,10 @@
 // documents is the task that owns the rules and the list in force, and the
 // services that they call for.
 type documents struct {
-	common  *common.Common
-	peers   *peer.Peers
-	mailbox *task.Mailbox[any]
+	common   *common.Common
+	peers    *peer.Peers
+	platform tarragonwell.Platform
+	mailbox  *task.Mailbox[any]
 	// published is replaced whole; readers never wait.
 	published atomic.Pointer[published]
 }
@@ -60,6 +64,8 @@
 	// fetchingRules and fetchingList bound the fetches to one at a time.
 	fetchingRules bool
 	fetchingList  bool
+	// confirming is set while the list is read anew after a pause.
+	confirming bool
 }
 
 type runningService struct {
@@ -102,6 +108,12 @@
 	from    string
 }
 
+// confirmRequest asks for a new reading of the list, after a pause.
+type confirmRequest struct{}
+
+// confirmed ends it.
+type confirmed struct{}
+
 func newDocuments(c *common.Common) *documents {
 	d := &documents{
 		common:  c,
@@ -169,6 +181,13 @@
 		d.fetchRules(ctx, st, m)
 	case listHint:
 		d.fetchList(ctx, st, m)
+	case confirmRequest:
+		d.confirm(ctx, st)
+	case confirmed:
+		st.confirming = false
+		for _, r := range st.running {
+			r.service.Resume()
+		}
 	case leavingHint:
 		if r := st.running[m.service]; r != nil {
 			r.service.MarkLeaving(m.address, m.until, m.from)
@@ -245,6 +264,29 @@
 	}()
 }
 
+// confirm reads the list anew, from the platform or else through a peer, after
+// the process was paused.
+func (d *documents) confirm(ctx context.Context, st *documentsState) {
+	if st.confirming {
+		return
+	}
+	st.confirming = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		list, err := d.platform.WatchInstances(ctx, 0, 0)
+		if err == nil && list != nil {
+			d.mailbox.Post(listOffer{
+				list: list,
+				from: fromPlatform,
+			})
+		}
+		// Peers tell of later lists and of targets that leave.
+		d.peers.Greet(ctx, d.peers.SomeAlive(confirmPeers))
+		d.mailbox.Post(confirmed{})
+	}()
+}
+
 // apply brings the services in line with the documents and publishes them.
 func (d *documents) apply(ctx context.Context, st *documentsState, services *sync.WaitGroup) {
 	d.publishVersions(st)
@@ -293,6 +335,9 @@
 		Instances:   instances,
 		Targets:     targets,
 		TellLeaving: d.peers.TellLeaving,
+		Confirm: func() {
+			d.mailbox.TryPost(confirmRequest{})
+		},
 	})
 	services.Go(func() {
 		s.Run(ctx)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -79,6 +79,7 @@
 		Address: s.Platform,
 		HTTP:    &http.Client{},
 	}
+	i.documents.platform = i.platform
 	i.operations = operations.New(operations.Options{
 		Common: c,
 		Dispatcher: &operationDispatcher{
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -170,3 +172,16 @@
 	}
 	return versions
 }
+
+// SomeAlive draws up to n addresses of peers heard of lately.
+func (p *Peers) SomeAlive(n int) []string {
+	alive := slices.Clone(p.Snapshot().Alive)
+	rand.Shuffle(len(alive), func(i, j int) {
+		alive[i], alive[j] = alive[j], alive[i]
+	})
+	var out []string
+	for _, m := range alive[:min(n, len(alive))] {
+		out = append(out, m.PeerAddress)
+	}
+	return out
+}
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/control"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
@@ -121,17 +122,13 @@
 	return d.service.options.Common.Clock.Now().Before(d.call.Deadline)
 }
 
-// retriesLeft is what the next attempt may pass on: of r retries the call keeps
-// one for itself, and its retry passes on none. So the attempts at any depth
-// below are at most r+1.
+// retriesLeft is what the next attempt may pass on. A call that must not repeat
+// keeps none for itself.
 func (d *dispatch) retriesLeft() int {
 	if !d.call.Route.Kind.Repeatable {
 		return d.call.RetriesLeft
 	}
-	if d.repeated {
-		return 0
-	}
-	return max(0, d.call.RetriesLeft-1)
+	return admission.RetriesBelow(d.call.RetriesLeft, d.repeated)
 }
 
 func (d *dispatch) keepFallback(a *tarragonwell.Answer) {
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -49,6 +49,9 @@
 	from    string
 }
 
+// resumeMessage says that the targets have been confirmed after a pause.
+type resumeMessage struct{}
+
 // statusMessage asks for a report.
 type statusMessage struct {
 	reply chan<- Status
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,314 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/goleak"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/internal/task"
+	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/policy"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// jumpingClock can be moved ahead, as after a pause of the process.
+type jumpingClock struct {
+	ahead atomic.Int64
+}
+
+func (c *jumpingClock) Now() time.Time {
+	return time.Now().Add(time.Duration(c.ahead.Load()))
+}
+
+type noAudit struct{}
+
+func (noAudit) Record(tarragonwell.AuditRecord) {}
+
+func commonOf(t *testing.T, clock tarragonwell.Clock) *common.Common {
+	t.Helper()
+	l, err := common.NewLogger(io.Discard, "error", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &common.Common{
+		Settings: &settingsfile.Settings{
+			HeldAnswerBytes: 1000,
+		},
+		Log:     l,
+		Metrics: metrics.NewSet(),
+		Audit:   noAudit{},
+		Clock:   clock,
+	}
+}
+
+func ruleOf(name string) *tarragonwell.Service {
+	return &tarragonwell.Service{
+		Name:        name,
+		Slots:       5,
+		Connections: 50,
+		RetryRatio:  1,
+		Policy:      policy.Default,
+	}
+}
+
+func TestPausedServiceConfirmsItsTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := &jumpingClock{}
+		confirms := make(chan bool, 10)
+		s := New(Options{
+			Common:    commonOf(t, clock),
+			Rule:      ruleOf("s"),
+			Instances: 1,
+			Targets: []tarragonwell.ListedTarget{
+				{
+					Address: "127.0.0.1:1",
+				},
+			},
+			Confirm: func() { confirms <- true },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { s.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+
+		request := scheduling.Request{
+			Kind: &tarragonwell.Kind{
+				Name: "k",
+			},
+			Deadline: clock.Now().Add(time.Hour),
+		}
+		if l, refusal := s.acquire(ctx, request); l == nil {
+			t.Fatalf("before the pause: got %+v", refusal)
+		}
+		clock.ahead.Store(int64(5 * time.Second))
+		waiting, stop := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer stop()
+		if l, _ := s.acquire(waiting, request); l != nil {
+			t.Error("after the pause: got a grant, want a wait")
+		}
+		<-confirms
+		s.Resume()
+		if l, refusal := s.acquire(ctx, request); l == nil {
+			t.Errorf("after the confirmation: got %+v", refusal)
+		}
+	})
+}
+
+// scripted is a target that does what its script says, call by call.
+type scripted struct {
+	address string
+	mu      sync.Mutex
+	script  []func(w http.ResponseWriter, r *http.Request)
+	calls   int
+}
+
+func startScripted(t *testing.T, script ...func(http.ResponseWriter, *http.Request)) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &scripted{
+		address: l.Addr().String(),
+		script:  script,
+	}
+	server := &http.Server{
+		Handler: x,
+	}
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(l) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		running.Wait()
+	})
+	return x
+}
+
+// ServeHTTP implements http.Handler.
+func (x *scripted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x.mu.Lock()
+	n := min(x.calls, len(x.script)-1)
+	x.calls++
+	act := x.script[n]
+	x.mu.Unlock()
+	act(w, r)
+}
+
+func (x *scripted) count() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.calls
+}
+
+func answer(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "whole")
+}
+
+func breakOff(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+func truncate(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "part")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Target-Not-Run", "shed")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func fail(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func silent(_ http.ResponseWriter, r *http.Request) {
+	<-r.Context().Done()
+}
+
+// TestOutcomes holds what is told for each way in which a call can end, and how
+// often targets are asked.
+func TestOutcomes(t *testing.T) {
+	type script = []func(http.ResponseWriter, *http.Request)
+	tests := []struct {
+		name       string
+		repeatable bool
+		script     script
+		outcome    tarragonwell.Outcome
+		calls      int
+	}{
+		{"answered", false, script{answer}, tarragonwell.OutcomeComplete, 1},
+		{"broken off, may repeat", true, script{breakOff, answer}, tarragonwell.OutcomeComplete, 2},
+		{"broken off, must not repeat", false, script{breakOff, answer}, tarragonwell.OutcomeUnknown, 1},
+		{"truncated, may repeat", true, script{truncate, answer}, tarragonwell.OutcomeComplete, 2},
+		{"truncated, must not repeat", false, script{truncate, answer}, tarragonwell.OutcomeUnknown, 1},
+		{"always broken off", true, script{breakOff}, tarragonwell.OutcomeUnknown, 2},
+		{"shed once", false, script{shed, answer}, tarragonwell.OutcomeComplete, 2},
+		{"always shed", false, script{shed}, tarragonwell.OutcomeNotRun, maxAttempts},
+		{"broken off, then shed", true, script{breakOff, shed}, tarragonwell.OutcomeUnknown, maxAttempts},
+		{"server error, may repeat", true, script{fail, answer}, tarragonwell.OutcomeComplete, 2},
+		{"server error, must not repeat", false, script{fail, answer}, tarragonwell.OutcomeUnknown, 1},
+		{"no answer in time", false, script{silent}, tarragonwell.OutcomeUnknown, 1},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			target := startScripted(t, x.script...)
+			r := dispatchTo(t, x.repeatable, target.address)
+			if got, want := r.Outcome, x.outcome; got != want {
+				t.Errorf("outcome: got %v (%s), want %v", got, r.Reason, want)
+			}
+			if got, want := target.count(), x.calls; got != want {
+				t.Errorf("calls: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// dispatchTo sends one call to a service of one target and reads the answer.
+func dispatchTo(t *testing.T, repeatable bool, address string) tarragonwell.Result {
+	t.Helper()
+	rule := ruleOf("s")
+	s := New(Options{
+		Common:    commonOf(t, common.SystemClock{}),
+		Rule:      rule,
+		Instances: 1,
+		Targets: []tarragonwell.ListedTarget{
+			{
+				Address: address,
+			},
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	r := s.Dispatch(ctx, &tarragonwell.Call{
+		ID:     "id",
+		Method: http.MethodPost,
+		Path:   "/x",
+		Route: &tarragonwell.Route{
+			Service: rule,
+			Kind: &tarragonwell.Kind{
+				Name:       "k",
+				Repeatable: repeatable,
+				Deadline:   time.Second,
+				Weight:     1,
+				SlotShare:  1,
+			},
+		},
+		Deadline:    time.Now().Add(time.Second),
+		RetriesLeft: 1,
+	})
+	if r.Answer != nil {
+		_, _ = io.Copy(io.Discard, r.Answer.Body)
+		_ = r.Answer.Body.Close()
+	}
+	return r
+}
+
+func TestStoppedServiceRefuses(t *testing.T) {
+	s := New(Options{
+		Common: commonOf(t, common.SystemClock{}),
+		Rule:   ruleOf("s"),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Run(ctx)
+	_, refusal := s.acquire(context.Background(), scheduling.Request{
+		Kind: &tarragonwell.Kind{},
+	})
+	if refusal == nil {
+		t.Error("got a lease, want a refusal")
+	}
+	_, err := s.Status(context.Background())
+	if got, want := errors.Is(err, task.ErrStopped), true; got != want {
+		t.Errorf("status: got %v", err)
+	}
+}
+
+func BenchmarkMailboxHop(b *testing.B) {
+	s := New(Options{
+		Common: &common.Common{
+			Settings: &settingsfile.Settings{},
+			Metrics:  metrics.NewSet(),
+			Audit:    noAudit{},
+			Clock:    common.SystemClock{},
+		},
+		Rule: ruleOf("s"),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	b.ReportAllocs()
+	for b.Loop() {
+		// A refusal for want of targets is the cheapest message with a reply.
+		_, _ = s.acquire(ctx, scheduling.Request{
+			Kind: &tarragonwell.Kind{
+				Name: "k",
+			},
+			Deadline: time.Now().Add(time.Second),
+		})
+	}
+}
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -26,6 +26,13 @@
 	// pollInterval is how often waiting calls are looked at while there are any
 	// and nothing else happens.
 	pollInterval = 2 * time.Millisecond
+	// pulseInterval is the longest time between two turns of the task, unless
+	// the process was paused.
+	pulseInterval = 250 * time.Millisecond
+	// pauseLimit is the pause after which the targets are confirmed first.
+	pauseLimit = time.Second
+	// confirmLimit is how long a confirmation is waited for.
+	confirmLimit = time.Second
 	// leavingBelieved is how long a word that a target leaves holds without the
 	// platform's confirmation.
 	leavingBelieved = 30 * time.Second
@@ -44,6 +51,9 @@
 	Targets []tarragonwell.ListedTarget
 	// TellLeaving passes on that a target said it leaves; it must not block.
 	TellLeaving func(service, address string, until time.Time)
+	// Confirm asks for a new reading of the list, after which Resume is called;
+	// it must not block.
+	Confirm func()
 }
 
 // Service is the task of one service. Make it with New and run it.
@@ -65,6 +75,8 @@
 	prober    tarragonwell.Prober
 	handles   map[string]*handle
 	waiting   map[uint64]chan<- decision
+	// turn is when the task last ran.
+	turn time.Time
 }
 
 // handle is a running target task.
@@ -106,6 +118,11 @@
 	})
 }
 
+// Resume says that the targets have been confirmed after a pause.
+func (s *Service) Resume() {
+	s.mailbox.Post(resumeMessage{})
+}
+
 // Status reports on the service.
 func (s *Service) Status(ctx context.Context) (Status, error) {
 	return task.Ask(ctx, s.mailbox, func(reply chan<- Status) any {
@@ -124,17 +141,23 @@
 	s.setTargets(ctx, st, &targets, s.options.Targets)
 	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
+	pulse := time.NewTicker(pulseInterval)
+	defer pulse.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-pulse.C:
+			s.noticePause(st)
 		case m := <-s.mailbox.Receive():
+			s.noticePause(st)
 			s.handle(ctx, st, &targets, m)
 			if st.scheduler.Waiting() > 0 {
 				s.poll(st)
 				timer.Reset(pollInterval)
 			}
 		case <-timer.C:
+			s.noticePause(st)
 			s.poll(st)
 			if st.scheduler.Waiting() > 0 {
 				timer.Reset(pollInterval)
@@ -143,6 +166,22 @@
 	}
 }
 
+// noticePause holds all grants back when the process was paused: until the
+// targets are confirmed, it would act on an old view of the world.
+func (s *Service) noticePause(st *state) {
+	now := s.options.Common.Clock.Now()
+	gap := now.Sub(st.turn)
+	st.turn = now
+	if gap <= pauseLimit || !control.Holds(control.PauseCheck) {
+		return
+	}
+	st.scheduler.Suspend(now.Add(confirmLimit))
+	s.options.Common.Log.Warn("paused", "service", st.rule.Name, "for", gap)
+	if s.options.Confirm != nil {
+		s.options.Confirm()
+	}
+}
+
 func (s *Service) start() *state {
 	st := &state{
 		rule:      s.options.Rule,
@@ -150,6 +189,7 @@
 		instances: s.options.Instances,
 		handles:   map[string]*handle{},
 		waiting:   map[uint64]chan<- decision{},
+		turn:      s.options.Common.Clock.Now(),
 	}
 	chooser := policy.New(st.rule.Policy, common.NewRandom())
 	st.prober, _ = chooser.(tarragonwell.Prober)
@@ -184,6 +224,8 @@
 		s.configure(st, m)
 	case leavingMessage:
 		s.leaving(now, st, m.address, m.until, m.from)
+	case resumeMessage:
+		st.scheduler.Resume()
 	case statusMessage:
 		m.reply <- s.status(now, st)
 	}
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -137,10 +137,25 @@
 	for _, name := range keys {
 		r.Header.Del(name)
 	}
+	if len(body) == 0 && !resentByMethod(r.Method) {
+		r.Body = http.NoBody
+		return
+	}
 	r.ContentLength = int64(len(body))
 	r.Body = io.NopCloser(bytes.NewReader(body))
 }
 
+// resentByMethod reports whether the transport repeats a request without a body
+// for its method alone.
+func resentByMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
+
 // answer checks what a target answered.
 func (t *Target) answer(r *http.Response, c *tarragonwell.Call) (*tarragonwell.Answer, error) {
 	load := parseLoad(r.Header.Get(HeaderLoad))
--- a/pkg/tarragonwell/admission/admission_test.go
+++ b/pkg/tarragonwell/admission/admission_test.go
@@ -140,3 +140,25 @@
 		}
 	}
 }
+
+// TestRetriesDoNotMultiply lets every attempt fail at every depth: the attempts
+// at the bottom stay at one more than the retries at the top.
+func TestRetriesDoNotMultiply(t *testing.T) {
+	const depth = 9
+	var attempts func(depth, left int) int
+	attempts = func(depth, left int) int {
+		if depth == 0 {
+			return 1
+		}
+		n := attempts(depth-1, RetriesBelow(left, false))
+		if left > 0 {
+			n += attempts(depth-1, RetriesBelow(left, true))
+		}
+		return n
+	}
+	for left := range 4 {
+		if got, want := attempts(depth, left), left+1; got != want {
+			t.Errorf("with %d retries: got %d attempts, want %d", left, got, want)
+		}
+	}
+}
--- a/pkg/tarragonwell/admission/budgets.go
+++ b/pkg/tarragonwell/admission/budgets.go
@@ -33,6 +33,16 @@
 	return true
 }
 
+// RetriesBelow is what an attempt may pass on of the retries that came with its
+// call. The call keeps one for itself, and its own retry passes on none, so the
+// attempts at any depth below are at most one more than the retries that came.
+func RetriesBelow(left int, retry bool) int {
+	if retry {
+		return 0
+	}
+	return max(0, left-1)
+}
+
 // ProbeInterval is the time between two probes of one target by one instance,
 // such that the whole fleet stays within the budget, in probes a second. It
 // divides by the highest count of instances that anything names and never by
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -42,6 +42,8 @@
 	eligible []*tarragonwell.TargetState
 	// joins counts the targets that have joined.
 	joins uint64
+	// suspendedUntil holds all grants back; zero for never.
+	suspendedUntil time.Time
 }
 
 // Request asks for a target.
@@ -307,8 +309,22 @@
 	return s.targets
 }
 
+// Suspend holds all grants back, because what is known of the targets may be
+// long out of date. Resume, or the time given, ends this.
+func (s *Scheduler) Suspend(until time.Time) {
+	s.suspendedUntil = until
+}
+
+// Resume lets grants go on.
+func (s *Scheduler) Resume() {
+	s.suspendedUntil = time.Time{}
+}
+
 // tryGrant picks a target for a call, or returns nil to hold it.
 func (s *Scheduler) tryGrant(now time.Time, w *admission.Waiter) *Grant {
+	if now.Before(s.suspendedUntil) {
+		return nil
+	}
 	usable := s.usable(now, w)
 	if len(usable) == 0 || float64(s.inFlight) >= s.Limit() {
 		return nil
--- a/pkg/tarragonwell/scheduling/scheduler_test.go
+++ b/pkg/tarragonwell/scheduling/scheduler_test.go
@@ -160,6 +160,22 @@
 	}
 }
 
+func TestSuspendHoldsGrantsBack(t *testing.T) {
+	s := newScheduler(1, 2)
+	s.Suspend(start.Add(time.Second))
+	if got := acquire(s, start, 1, short); got.Grant != nil || got.Refusal != nil {
+		t.Errorf("suspended: got %+v, want a wait", got)
+	}
+	s.Resume()
+	if got, want := len(s.Poll(start)), 1; got != want {
+		t.Errorf("resumed: got %d decisions, want %d", got, want)
+	}
+	s.Suspend(start.Add(time.Second))
+	if got := acquire(s, start.Add(time.Second), 2, short); got.Grant == nil {
+		t.Errorf("after the time: got %+v, want a grant", got)
+	}
+}
+
 func TestLongWorkIsKeptToItsShare(t *testing.T) {
 	s := newScheduler(1, 10)
 	used := map[string]bool{}
--- /dev/null
+++ b/test/bench/main.go
@@ -0,0 +1,117 @@
+// Command bench measures the policy against the baselines, in one run on real
+// instances: an open-loop load, per request kind, in several scenarios.
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/policy"
+	"github.com/tarragonwell/tarragonwell/test/fleet"
+)
+
+type options struct {
+	Scenario  []string      `help:"Scenarios to run; all if none is named."`
+	Policy    []string      `help:"Policies to compare; all if none is named."`
+	Duration  time.Duration `default:"5s" help:"Time measured in each run."`
+	Rounds    int           `default:"1" help:"Rounds, each with all policies."`
+	Instances int           `default:"15" help:"Instances in the fleet."`
+	Seed      uint64        `default:"1" help:"Seed of the load."`
+	Out       string        `type:"path" help:"Folder for results.json and plots."`
+	List      bool          `help:"List the scenarios."`
+	Program   string        `type:"path" help:"Use this program instead of building one."`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("bench"))
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	if o.List {
+		for _, s := range scenarios {
+			fmt.Printf("%-18s %s\n", s.name, s.about)
+		}
+		return nil
+	}
+	folder, err := os.MkdirTemp("", "tarragonwell-bench")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	program := o.Program
+	if program == "" {
+		if program, err = fleet.Build(folder, "tarragonwell", "."); err != nil {
+			return err
+		}
+	}
+	if len(o.Policy) == 0 {
+		o.Policy = policy.Names()
+	}
+	chosen := slices.DeleteFunc(slices.Clone(scenarios), func(s scenario) bool {
+		return len(o.Scenario) > 0 && !slices.Contains(o.Scenario, s.name)
+	})
+	if len(chosen) == 0 {
+		return fmt.Errorf("no such scenario; known are listed by --list")
+	}
+	fmt.Println("bench", strings.Join(os.Args[1:], " "))
+	var results []*result
+	for _, org := range organisations {
+		r, err := runOrganisation(o, program, folder, org, chosen)
+		if err != nil {
+			return err
+		}
+		results = append(results, r...)
+	}
+	printResults(results)
+	if o.Out == "" {
+		return nil
+	}
+	return writeResults(o.Out, results)
+}
+
+// runOrganisation runs all scenarios of one organisation on one fleet; the
+// policies take turns by an edit of the rules.
+func runOrganisation(o options, program, folder string, org organisation, chosen []scenario) ([]*result, error) {
+	chosen = slices.DeleteFunc(slices.Clone(chosen), func(s scenario) bool { return s.organisation != org.name })
+	if len(chosen) == 0 {
+		return nil, nil
+	}
+	f, err := fleet.Start(org.fleetOptions(o, program, folder))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var results []*result
+	for _, s := range chosen {
+		for round := range o.Rounds {
+			for _, p := range o.Policy {
+				b := &bench{
+					options:      o,
+					fleet:        f,
+					organisation: org,
+					scenario:     s,
+					policy:       p,
+					seed:         o.Seed + uint64(round),
+				}
+				r, err := b.run()
+				if err != nil {
+					return nil, err
+				}
+				r.Round = round
+				results = append(results, r)
+				fmt.Println(r.line())
+			}
+		}
+	}
+	return results, nil
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -69,6 +69,8 @@
 	mu sync.Mutex
 	// leaving marks the instances that the list shows as leaving.
 	leaving map[string]bool
+	// removed marks the targets that are no longer on the list.
+	removed map[string]bool
 }
 
 // Instance is one entry instance and the relay that its peers go through.
@@ -92,6 +94,7 @@
 		cancel:  cancel,
 		ctx:     ctx,
 		leaving: map[string]bool{},
+		removed: map[string]bool{},
 	}
 	if err := f.start(); err != nil {
 		f.Close()
@@ -246,6 +249,26 @@
 	f.PublishList()
 }
 
+// Remove takes a target off the platform's list.
+func (f *Fleet) Remove(t *target.Target) {
+	f.mu.Lock()
+	f.removed[t.Address] = true
+	f.mu.Unlock()
+	f.PublishList()
+}
+
+// IsLeaving reports whether the list shows an instance as leaving.
+func (f *Fleet) IsLeaving(i *Instance) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving[i.Host]
+}
+
+// Live lists the callers' addresses that the balancer uses now.
+func (f *Fleet) Live() []string {
+	return f.Balancer.Instances()
+}
+
 // PublishList publishes the instances and targets, and tells the balancer
 // after its lag.
 func (f *Fleet) PublishList() {
@@ -271,13 +294,16 @@
 	n := 0
 	for service, targets := range f.Targets {
 		for _, t := range targets {
+			n++
+			if f.removed[t.Address] {
+				continue
+			}
 			list = append(list, &pb.ListedInstance{
 				Service:    service,
 				Address:    t.Address,
 				DataCenter: f.dataCenter(n),
 				State:      "live",
 			})
-			n++
 		}
 	}
 	f.Platform.SetInstances(list)
--- a/test/history/control_test.go
+++ b/test/history/control_test.go
@@ -103,6 +103,15 @@
 			p.LeavingGrace = time.Second
 		},
 	},
+	{
+		safeguard: control.PauseCheck,
+		promise:   PromiseLeaving,
+		plan: func(p *Plan) {
+			p.Act = removeDuringFreeze
+			p.Callers = 150
+			p.LeavingGrace = time.Second
+		},
+	},
 	{
 		safeguard: control.ProbeBudget,
 		promise:   PromiseProbes,
@@ -141,6 +150,19 @@
 // runs counts the fleets, so that each has its own addresses.
 var runs byte
 
+// removeDuringFreeze takes a target off the list while an instance is frozen;
+// callers go on to send to the instance, which answers when it wakes.
+func removeDuringFreeze(ctx context.Context, j *Injector) {
+	sleep(ctx, 500*time.Millisecond)
+	victim := j.Fleet.Instances[0]
+	victim.Process().Freeze()
+	t := j.Fleet.Targets["booking-tracking"][0]
+	j.Fleet.Remove(t)
+	j.Drain(t)
+	sleep(ctx, 1500*time.Millisecond)
+	victim.Process().Thaw()
+}
+
 func execute(t *testing.T, s scenario, program string, environment ...string) *Report {
 	t.Helper()
 	runs++
--- a/test/standin/balancer/balancer.go
+++ b/test/standin/balancer/balancer.go
@@ -49,6 +49,13 @@
 	b.instances = append([]string(nil), addresses...)
 }
 
+// Instances returns the present list.
+func (b *Balancer) Instances() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.instances
+}
+
 func (b *Balancer) accept(ctx context.Context) {
 	for {
 		c, err := b.listener.Accept()
