Let an instance always use its share of the slots; keep to near targets

Ruled out: sheds and the limiter (no target shed at 85%). Change: below its share (slots by serving instances) a call never waits for room; targets of the own data centre first, whose news is fresher; the hedge delay follows the 92nd percentile instead of deviations.

--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -21,7 +21,9 @@
 const (
 	documentsMailbox = 256
 	fetchTimeout     = 2 * time.Second
-	confirmTimeout   = 900 * time.Millisecond
+	// countInterval is how often the instances are counted anew.
+	countInterval  = time.Second
+	confirmTimeout = 900 * time.Millisecond
 	// confirmPeers is how many peers are asked after a pause.
 	confirmPeers = 3
 	fromPlatform = "platform"
@@ -64,10 +66,20 @@
 	// fetchingRules and fetchingList bound the fetches to one at a time.
 	fetchingRules bool
 	fetchingList  bool
+	// counts are what the services were last configured with.
+	counts fleetCounts
 	// confirming is set while the list is read anew after a pause.
 	confirming bool
 }
 
+// fleetCounts are the numbers of instances that services go by.
+type fleetCounts struct {
+	// atMost bounds the instances, for budgets.
+	atMost int
+	// serving counts those that serve now, for preference.
+	serving int
+}
+
 type runningService struct {
 	service *service.Service
 	stop    context.CancelFunc
@@ -150,12 +162,16 @@
 		list:    &tarragonwell.InstanceList{},
 		running: map[string]*runningService{},
 	}
+	ticker := time.NewTicker(countInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-d.mailbox.Receive():
 			d.handle(ctx, st, &services, m)
+		case <-ticker.C:
+			d.recount(st)
 		}
 	}
 }
@@ -294,7 +310,7 @@
 		d.publish(st)
 		return
 	}
-	instances := max(st.rules.Fleet.InstancesAtMost, len(st.list.Instances), len(d.peers.Snapshot().Alive)+1)
+	st.counts = d.count(st)
 	byService := map[string][]tarragonwell.ListedTarget{}
 	for _, t := range st.list.Targets {
 		byService[t.Service] = append(byService[t.Service], t)
@@ -302,10 +318,10 @@
 	for name, rule := range st.rules.Services {
 		r := st.running[name]
 		if r == nil {
-			st.running[name] = d.startService(ctx, services, rule, instances, byService[name])
+			st.running[name] = d.startService(ctx, services, rule, st.counts, byService[name])
 			continue
 		}
-		r.service.Configure(rule, instances)
+		r.service.Configure(rule, st.counts.atMost, st.counts.serving)
 		r.service.SetTargets(byService[name])
 	}
 	// The routing without a removed service is published before it stops.
@@ -316,6 +332,37 @@
 	}
 }
 
+// count takes the highest number that anything names for budgets: those that
+// can be heard are too few under a partition.
+func (d *documents) count(st *documentsState) fleetCounts {
+	alive := d.peers.Snapshot().Alive
+	c := fleetCounts{
+		atMost:  max(st.rules.Fleet.InstancesAtMost, len(st.list.Instances), len(alive)+1),
+		serving: 1,
+	}
+	for _, m := range alive {
+		if m.State == tarragonwell.MemberServing {
+			c.serving++
+		}
+	}
+	return c
+}
+
+// recount passes changed counts on to the services.
+func (d *documents) recount(st *documentsState) {
+	if st.rules == nil {
+		return
+	}
+	counts := d.count(st)
+	if counts == st.counts {
+		return
+	}
+	st.counts = counts
+	for name, r := range st.running {
+		r.service.Configure(st.rules.Services[name], counts.atMost, counts.serving)
+	}
+}
+
 func (st *documentsState) removeServices() []*runningService {
 	var removed []*runningService
 	for name, r := range st.running {
@@ -327,12 +374,13 @@
 	return removed
 }
 
-func (d *documents) startService(ctx context.Context, services *sync.WaitGroup, rule *tarragonwell.Service, instances int, targets []tarragonwell.ListedTarget) *runningService {
+func (d *documents) startService(ctx context.Context, services *sync.WaitGroup, rule *tarragonwell.Service, counts fleetCounts, targets []tarragonwell.ListedTarget) *runningService {
 	ctx, stop := context.WithCancel(ctx)
 	s := service.New(service.Options{
 		Common:      d.common,
 		Rule:        rule,
-		Instances:   instances,
+		Instances:   counts.atMost,
+		Sharers:     counts.serving,
 		Targets:     targets,
 		TellLeaving: d.peers.TellLeaving,
 		Confirm: func() {
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -36,10 +36,11 @@
 	targets []tarragonwell.ListedTarget
 }
 
-// configureMessage takes in a changed rule or count of instances.
+// configureMessage takes in a changed rule or other counts of instances.
 type configureMessage struct {
 	service   *tarragonwell.Service
 	instances int
+	sharers   int
 }
 
 // leavingMessage takes in a peer's word that a target leaves.
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -47,6 +47,8 @@
 	Rule   *tarragonwell.Service
 	// Instances is the highest known number of instances in the fleet.
 	Instances int
+	// Sharers is the number of instances that serve now, as far as is known.
+	Sharers int
 	// Targets is the platform's list at the start.
 	Targets []tarragonwell.ListedTarget
 	// TellLeaving passes on that a target said it leaves; it must not block.
@@ -101,11 +103,12 @@
 	})
 }
 
-// Configure takes in a changed rule and the count of instances.
-func (s *Service) Configure(rule *tarragonwell.Service, instances int) {
+// Configure takes in a changed rule or other counts of instances.
+func (s *Service) Configure(rule *tarragonwell.Service, instances, sharers int) {
 	s.mailbox.Post(configureMessage{
 		service:   rule,
 		instances: instances,
+		sharers:   sharers,
 	})
 }
 
@@ -197,7 +200,7 @@
 		Service:    st.rule,
 		DataCenter: s.options.Common.Settings.DataCenter,
 		Chooser:    chooser,
-		Instances:  st.instances,
+		Sharers:    s.options.Sharers,
 	})
 	return st
 }
@@ -353,7 +356,7 @@
 	o := scheduling.Options{
 		Service:    m.service,
 		DataCenter: s.options.Common.Settings.DataCenter,
-		Instances:  m.instances,
+		Sharers:    m.sharers,
 	}
 	if m.service.Policy != st.policy {
 		o.Chooser = policy.New(m.service.Policy, common.NewRandom())
--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -58,6 +58,9 @@
 	MeanOthers float64
 	// Ramp is the time over which a new target is given its full share.
 	Ramp time.Duration
+	// Entitled says that the instance has fewer calls in flight than its share
+	// of the service's slots, and so need not wait for a target with room.
+	Entitled bool
 }
 
 // Prober is implemented by choosers that ask for probes of their own with each
--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -32,9 +32,11 @@
 )
 
 // AdaptiveChooser is the default. It estimates how many slots of each target
-// are taken, by its own calls and by the faded reports of the targets, and
-// holds a call while all targets seem full. Slow, failing and silent targets
-// lose their traffic whatever they report.
+// are taken, by its own calls and by the faded reports of the targets. It keeps
+// to the targets of its own data centre while they have room, for news of few
+// targets is fresher than news of many. Above its share of the slots it holds a
+// call while all targets seem full. Slow, failing and silent targets lose their
+// traffic whatever they report.
 type AdaptiveChooser struct {
 	Random *rand.Rand
 	// candidates is reused between calls.
@@ -43,26 +45,41 @@
 
 // Choose implements tarragonwell.Chooser.
 func (c *AdaptiveChooser) Choose(now time.Time, in tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
-	c.candidates = c.candidates[:0]
-	stalled := 0
-	for i, t := range targets {
-		if Stalled(now, t, in.ShortLatency) {
-			stalled++
-			continue
-		}
-		if hasRoom(now, t, in) {
-			c.candidates = append(c.candidates, i)
-		}
+	awake := func(t *tarragonwell.TargetState) bool {
+		return !Stalled(now, t, in.ShortLatency)
+	}
+	room := func(t *tarragonwell.TargetState) bool {
+		return awake(t) && hasRoom(now, t, in)
+	}
+	if c.collect(targets, func(t *tarragonwell.TargetState) bool { return t.Local && room(t) }) {
+		return c.bestOfSample(now, in, targets)
+	}
+	if c.collect(targets, room) {
+		return c.bestOfSample(now, in, targets)
 	}
-	if stalled == len(targets) {
+	if !c.collect(targets, awake) {
 		return c.leastOwn(targets)
 	}
-	if len(c.candidates) == 0 {
+	if !in.Entitled || !c.collect(targets, func(t *tarragonwell.TargetState) bool {
+		return awake(t) && t.InFlight < rampLimit(now, t, in.Ramp)
+	}) {
 		return -1
 	}
 	return c.bestOfSample(now, in, targets)
 }
 
+// collect sets the candidates to the targets that keep returns true for and
+// reports whether there are any.
+func (c *AdaptiveChooser) collect(targets []*tarragonwell.TargetState, keep func(*tarragonwell.TargetState) bool) bool {
+	c.candidates = c.candidates[:0]
+	for i, t := range targets {
+		if keep(t) {
+			c.candidates = append(c.candidates, i)
+		}
+	}
+	return len(c.candidates) > 0
+}
+
 // bestOfSample draws a few candidates without replacement and returns the one
 // with the lowest cost.
 func (c *AdaptiveChooser) bestOfSample(now time.Time, in tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -19,8 +19,9 @@
 	Service    *tarragonwell.Service
 	DataCenter string
 	Chooser    tarragonwell.Chooser
-	// Instances is the highest known number of instances in the fleet.
-	Instances int
+	// Sharers is the number of instances that serve now, as far as is known; at
+	// least 1. It guides preference only.
+	Sharers int
 }
 
 // Scheduler holds what one instance knows of one service.
@@ -349,6 +350,7 @@
 		ShortLatency: s.shortLatency,
 		MeanOthers:   s.meanOthers,
 		Ramp:         s.options.Service.Ramp,
+		Entitled:     s.inFlight*max(1, s.options.Sharers) < s.slots(),
 	}
 }
 
--- a/pkg/tarragonwell/scheduling/stats.go
+++ b/pkg/tarragonwell/scheduling/stats.go
@@ -7,18 +7,21 @@
 )
 
 const (
-	// hedgeDeviations sets the hedge delay above the mean.
-	hedgeDeviations = 4
-	minHedgeDelay   = 2 * time.Millisecond
+	// hedgeQuantile is the share of calls that end before a hedge is sent.
+	hedgeQuantile = 0.92
+	// quantileStep is the step of the estimate, in parts of the mean.
+	quantileStep  = 0.05
+	minHedgeDelay = 2 * time.Millisecond
 	// rateWindow is the time over which the rate of grants is measured.
 	rateWindow = 100 * time.Millisecond
 )
 
 // kindStats is what the scheduler has learnt of one kind.
 type kindStats struct {
-	// latency and deviation are smoothed, in nanoseconds; 0 before the first.
-	latency   float64
-	deviation float64
+	// latency is smoothed, in nanoseconds; 0 before the first call.
+	latency float64
+	// late estimates the hedgeQuantile of the latency, in nanoseconds.
+	late float64
 }
 
 func (s *Scheduler) stats(k *tarragonwell.Kind) *kindStats {
@@ -34,16 +37,20 @@
 	return time.Duration(k.latency)
 }
 
+// take moves the estimate of the quantile up by a large step for a late call and
+// down by a small one for any other, which balances at the quantile.
 func (k *kindStats) take(latency time.Duration) {
 	x := float64(latency)
-	gap := x - k.latency
-	if gap < 0 {
-		gap = -gap
+	k.latency = smooth(k.latency, x, latencySmoothing)
+	if k.late == 0 {
+		k.late = 2 * x
 	}
-	if k.latency > 0 {
-		k.deviation = smooth(k.deviation, gap, latencySmoothing)
+	step := quantileStep * k.latency
+	if x > k.late {
+		k.late += step * hedgeQuantile
+	} else {
+		k.late -= step * (1 - hedgeQuantile)
 	}
-	k.latency = smooth(k.latency, x, latencySmoothing)
 }
 
 // hedgeDelay is 0 before anything was learnt.
@@ -51,7 +58,7 @@
 	if k.latency == 0 {
 		return 0
 	}
-	return max(minHedgeDelay, time.Duration(k.latency+hedgeDeviations*k.deviation))
+	return max(minHedgeDelay, time.Duration(k.late))
 }
 
 // expected is the time that a call of a kind needs at a target.
--- a/test/standin/target/target.go
+++ b/test/standin/target/target.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -119,7 +121,8 @@
 	mux.HandleFunc("POST /standin/behaviour", t.setBehaviour)
 	mux.HandleFunc("/", t.serve)
 	t.server = &http.Server{
-		Handler: mux,
+		Handler:  mux,
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	limited := &limitedListener{
 		Listener: l,
