Tell of leaving targets again; prove planned stops and leaving by seed

Change: a target's word is passed on again every 10 s while it holds; services that start take what peers have told; one seed in five stops instances behind the balancer and must break no connection, one in five drains a target for good; the table counts only runs that check a promise. Fewer copies of headers on the way. Files with two jobs split: scheduler, documents, service task. Tests of membership, operations and the watchers.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -171,8 +171,8 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, "the body broke off"
 	}
-	header := r.Header.Clone()
-	header.Del(HeaderTicket)
+	// The request is the call's own from here on.
+	header := r.Header
 	header.Set("Host", r.Host)
 	if client, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		header.Add("X-Forwarded-For", client)
@@ -213,6 +213,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, routing *Routing, call *tarragonwell.Call) tarragonwell.Outcome {
 	if !call.Route.Kind.Repeatable {
 		if text := r.Header.Get(HeaderTicket); text != "" {
+			r.Header.Del(HeaderTicket)
 			return s.withTicket(w, r, routing, call, text)
 		}
 		if r.Header.Get(HeaderIdempotencyKey) != "" {
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -72,19 +72,6 @@
 	confirming bool
 }
 
-// fleetCounts are the numbers of instances that services go by.
-type fleetCounts struct {
-	// atMost bounds the instances, for budgets.
-	atMost int
-	// serving counts those that serve now, for preference.
-	serving int
-}
-
-type runningService struct {
-	service *service.Service
-	stop    context.CancelFunc
-}
-
 // rulesOffer is a rules file that was read from the platform or a peer.
 type rulesOffer struct {
 	rules *tarragonwell.PublishedRules
@@ -100,18 +87,6 @@
 	fetched bool
 }
 
-// rulesHint says that a peer has newer rules.
-type rulesHint struct {
-	from    string
-	version tarragonwell.RulesVersion
-}
-
-// listHint says that a peer has a newer list.
-type listHint struct {
-	from     string
-	revision uint64
-}
-
 // leavingHint is a peer's word that a target leaves.
 type leavingHint struct {
 	service string
@@ -120,12 +95,6 @@
 	from    string
 }
 
-// confirmRequest asks for a new reading of the list, after a pause.
-type confirmRequest struct{}
-
-// confirmed ends it.
-type confirmed struct{}
-
 func newDocuments(c *common.Common) *documents {
 	d := &documents{
 		common:  c,
@@ -240,162 +209,6 @@
 	return st.rules.Version
 }
 
-func (d *documents) fetchRules(ctx context.Context, st *documentsState, m rulesHint) {
-	if st.fetchingRules || !m.version.After(st.version()) || m.version.Same(st.refusal.version) {
-		return
-	}
-	st.fetchingRules = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
-		rules, err := d.peers.FetchRules(ctx, m.from)
-		if err != nil {
-			d.common.Log.Debug("fetching rules failed", "peer", m.from, "error", err)
-		}
-		d.mailbox.Post(rulesOffer{
-			rules:   rules,
-			from:    m.from,
-			fetched: true,
-		})
-	}()
-}
-
-func (d *documents) fetchList(ctx context.Context, st *documentsState, m listHint) {
-	if st.fetchingList || m.revision <= st.list.Revision {
-		return
-	}
-	st.fetchingList = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
-		offer := listOffer{
-			from:    m.from,
-			fetched: true,
-		}
-		list, err := d.peers.FetchList(ctx, m.from)
-		if err == nil {
-			offer.list = platform.ListOf(list)
-		}
-		d.mailbox.Post(offer)
-	}()
-}
-
-// confirm reads the list anew, from the platform or else through a peer, after
-// the process was paused.
-func (d *documents) confirm(ctx context.Context, st *documentsState) {
-	if st.confirming {
-		return
-	}
-	st.confirming = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-		defer cancel()
-		list, err := d.platform.WatchInstances(ctx, 0, 0)
-		if err == nil && list != nil {
-			d.mailbox.Post(listOffer{
-				list: list,
-				from: fromPlatform,
-			})
-		}
-		// Peers tell of later lists and of targets that leave.
-		d.peers.Greet(ctx, d.peers.SomeAlive(confirmPeers))
-		d.mailbox.Post(confirmed{})
-	}()
-}
-
-// apply brings the services in line with the documents and publishes them.
-func (d *documents) apply(ctx context.Context, st *documentsState, services *sync.WaitGroup) {
-	d.publishVersions(st)
-	if st.rules == nil {
-		d.publish(st)
-		return
-	}
-	st.counts = d.count(st)
-	byService := map[string][]tarragonwell.ListedTarget{}
-	for _, t := range st.list.Targets {
-		byService[t.Service] = append(byService[t.Service], t)
-	}
-	for name, rule := range st.rules.Services {
-		r := st.running[name]
-		if r == nil {
-			st.running[name] = d.startService(ctx, services, rule, st.counts, byService[name])
-			continue
-		}
-		r.service.Configure(rule, st.counts.atMost, st.counts.serving)
-		r.service.SetTargets(byService[name])
-	}
-	// The routing without a removed service is published before it stops.
-	removed := st.removeServices()
-	d.publish(st)
-	for _, r := range removed {
-		r.stop()
-	}
-}
-
-// count takes the highest number that anything names for budgets: those that
-// can be heard are too few under a partition.
-func (d *documents) count(st *documentsState) fleetCounts {
-	alive := d.peers.Snapshot().Alive
-	c := fleetCounts{
-		atMost:  max(st.rules.Fleet.InstancesAtMost, len(st.list.Instances), len(alive)+1),
-		serving: 1,
-	}
-	for _, m := range alive {
-		if m.State == tarragonwell.MemberServing {
-			c.serving++
-		}
-	}
-	return c
-}
-
-// recount passes changed counts on to the services.
-func (d *documents) recount(st *documentsState) {
-	if st.rules == nil {
-		return
-	}
-	counts := d.count(st)
-	if counts == st.counts {
-		return
-	}
-	st.counts = counts
-	for name, r := range st.running {
-		r.service.Configure(st.rules.Services[name], counts.atMost, counts.serving)
-	}
-}
-
-func (st *documentsState) removeServices() []*runningService {
-	var removed []*runningService
-	for name, r := range st.running {
-		if st.rules.Services[name] == nil {
-			removed = append(removed, r)
-			delete(st.running, name)
-		}
-	}
-	return removed
-}
-
-func (d *documents) startService(ctx context.Context, services *sync.WaitGroup, rule *tarragonwell.Service, counts fleetCounts, targets []tarragonwell.ListedTarget) *runningService {
-	ctx, stop := context.WithCancel(ctx)
-	s := service.New(service.Options{
-		Common:      d.common,
-		Rule:        rule,
-		Instances:   counts.atMost,
-		Sharers:     counts.serving,
-		Targets:     targets,
-		TellLeaving: d.peers.TellLeaving,
-		Confirm: func() {
-			d.mailbox.TryPost(confirmRequest{})
-		},
-	})
-	services.Go(func() {
-		s.Run(ctx)
-	})
-	return &runningService{
-		service: s,
-		stop:    stop,
-	}
-}
-
 func (d *documents) publishVersions(st *documentsState) {
 	d.peers.SetVersions(st.version(), st.list.Revision, true)
 	var addresses []string
--- /dev/null
+++ b/internal/operations/operations_test.go
@@ -0,0 +1,256 @@
+package operations
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/goleak"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// fakeDispatcher counts dispatches and ends them when told to.
+type fakeDispatcher struct {
+	dispatched atomic.Int64
+	end        chan tarragonwell.StoredResult
+}
+
+func (f *fakeDispatcher) DispatchOperation(context.Context, *tarragonwell.Operation) tarragonwell.StoredResult {
+	f.dispatched.Add(1)
+	return <-f.end
+}
+
+// fakeForwarder answers for peers by address.
+type fakeForwarder struct {
+	holders map[tarragonwell.Incarnation]string
+	replies map[string]tarragonwell.ForwardReply
+	asked   []string
+}
+
+func (f *fakeForwarder) Forward(_ context.Context, address string, _ *tarragonwell.Operation) (tarragonwell.ForwardReply, error) {
+	f.asked = append(f.asked, address)
+	r, ok := f.replies[address]
+	if !ok {
+		return r, errors.New("out of reach")
+	}
+	return r, nil
+}
+
+func (f *fakeForwarder) HolderOf(i tarragonwell.Incarnation) string {
+	return f.holders[i]
+}
+
+func (f *fakeForwarder) Known(address string) bool {
+	return address != "stranger"
+}
+
+func start(t *testing.T, d tarragonwell.OperationDispatcher, f tarragonwell.Forwarder) *Operations {
+	t.Helper()
+	l, err := common.NewLogger(io.Discard, "error", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := New(Options{
+		Common: &common.Common{
+			Settings: &settingsfile.Settings{
+				PeerAddress: "self",
+			},
+			Log:         l,
+			Metrics:     metrics.NewSet(),
+			Clock:       common.SystemClock{},
+			Incarnation: tarragonwell.Incarnation{1},
+		},
+		Dispatcher: d,
+		Forwarder:  f,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { o.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return o
+}
+
+func operationOf(t *testing.T, o *Operations) *tarragonwell.Operation {
+	t.Helper()
+	tickets, err := o.Mint(context.Background(), 1, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tarragonwell.Operation{
+		Ticket: tickets[0],
+		Method: "POST",
+		Path:   "/x",
+	}
+}
+
+func complete() tarragonwell.StoredResult {
+	return tarragonwell.StoredResult{
+		Outcome: tarragonwell.OutcomeComplete,
+		Status:  200,
+	}
+}
+
+// TestOutcomeSurvivesItsCaller lets the caller leave while its operation runs:
+// a later attempt is told the outcome, and nothing runs again.
+func TestOutcomeSurvivesItsCaller(t *testing.T) {
+	d := &fakeDispatcher{
+		end: make(chan tarragonwell.StoredResult),
+	}
+	o := start(t, d, &fakeForwarder{})
+	op := operationOf(t, o)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if got, want := o.Do(ctx, op).Outcome, tarragonwell.OutcomeUnknown; got != want {
+		t.Errorf("while it runs: got %v, want %v", got, want)
+	}
+	d.end <- complete()
+	for range 3 {
+		if got, want := o.Do(context.Background(), op).Outcome, tarragonwell.OutcomeComplete; got != want {
+			t.Errorf("later: got %v, want %v", got, want)
+		}
+	}
+	if got, want := d.dispatched.Load(), int64(1); got != want {
+		t.Errorf("dispatches: got %d, want %d", got, want)
+	}
+}
+
+// TestCloseWaitsAndForwards holds the order of a planned stop: what runs ends
+// first, what comes meanwhile is neither run here nor told not-run, but goes to
+// the successor.
+func TestCloseWaitsAndForwards(t *testing.T) {
+	d := &fakeDispatcher{
+		end: make(chan tarragonwell.StoredResult),
+	}
+	f := &fakeForwarder{
+		holders: map[tarragonwell.Incarnation]string{
+			{1}: "successor",
+		},
+		replies: map[string]tarragonwell.ForwardReply{
+			"successor": {
+				Result: complete(),
+			},
+		},
+	}
+	o := start(t, d, f)
+	first, second := operationOf(t, o), operationOf(t, o)
+	results := make(chan tarragonwell.StoredResult, 2)
+	go func() { results <- o.Do(context.Background(), first) }()
+	for d.dispatched.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	closed := make(chan int, 1)
+	go func() {
+		books, _ := o.Close(context.Background())
+		closed <- len(books)
+	}()
+	o.waitFor(t, func(s Size) bool { return s.Closing })
+	go func() { results <- o.Do(context.Background(), second) }()
+	o.waitFor(t, func(s Size) bool { return s.Parked == 1 })
+	select {
+	case <-closed:
+		t.Fatal("closed while an operation ran")
+	default:
+	}
+	d.end <- complete()
+	if got, want := <-closed, 1; got != want {
+		t.Errorf("books: got %d, want %d", got, want)
+	}
+	for range 2 {
+		if got, want := (<-results).Outcome, tarragonwell.OutcomeComplete; got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	}
+	if got, want := d.dispatched.Load(), int64(1); got != want {
+		t.Errorf("dispatches here: got %d, want %d", got, want)
+	}
+}
+
+// waitFor waits until the table is in a state.
+func (o *Operations) waitFor(t *testing.T, reached func(Size) bool) {
+	t.Helper()
+	for {
+		size, err := o.Size(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reached(size) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestForwardFollowsTheChain(t *testing.T) {
+	holderIs := func(address string) tarragonwell.ForwardReply {
+		return tarragonwell.ForwardReply{
+			NotHolder: true,
+			Holder:    address,
+		}
+	}
+	tests := []struct {
+		name    string
+		home    string
+		replies map[string]tarragonwell.ForwardReply
+		outcome tarragonwell.Outcome
+		reason  string
+	}{
+		{"at the home", "a", map[string]tarragonwell.ForwardReply{"a": {Result: complete()}}, tarragonwell.OutcomeComplete, ""},
+		{"two hand-overs", "a", map[string]tarragonwell.ForwardReply{"a": holderIs("b"), "b": holderIs("c"), "c": {Result: complete()}}, tarragonwell.OutcomeComplete, ""},
+		{"replaced", "a", map[string]tarragonwell.ForwardReply{"a": holderIs("")}, tarragonwell.OutcomeUnknown, reasonHomeGone},
+		{"out of reach", "a", nil, tarragonwell.OutcomeUnknown, reasonHomeUnreachable},
+		{"no peer", "stranger", nil, tarragonwell.OutcomeUnknown, reasonHomeUnknown},
+		{"a circle", "a", map[string]tarragonwell.ForwardReply{"a": holderIs("b"), "b": holderIs("a")}, tarragonwell.OutcomeUnknown, reasonHomeGone},
+		{"a former life of this address", "self", nil, tarragonwell.OutcomeUnknown, reasonHomeGone},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			o := start(t, &fakeDispatcher{}, &fakeForwarder{
+				replies: x.replies,
+			})
+			r := o.Do(context.Background(), &tarragonwell.Operation{
+				Ticket: tarragonwell.Ticket{
+					Home:        x.home,
+					Incarnation: tarragonwell.Incarnation{9},
+				},
+			})
+			if got, want := r.Outcome, x.outcome; got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+			if got, want := r.Reason, x.reason; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+func TestTicketText(t *testing.T) {
+	o := start(t, &fakeDispatcher{}, &fakeForwarder{})
+	k := operationOf(t, o).Ticket
+	back, err := ParseTicket(TicketText(k))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := back, k; got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	for _, text := range []string{"", "!", "AAAA", TicketText(tarragonwell.Ticket{})[:3], string(make([]byte, 2000))} {
+		if _, err := ParseTicket(text); !errors.Is(err, ErrTicket) {
+			t.Errorf("%.20q: got %v, want an ErrTicket", text, err)
+		}
+	}
+}
--- a/internal/operations/task.go
+++ b/internal/operations/task.go
@@ -95,6 +95,10 @@
 	Entries int
 	Bytes   int
 	Running int
+	// Closing says that no further operation may begin.
+	Closing bool
+	// Parked counts the requests that wait for a hand-over.
+	Parked int
 	// Holding lists the incarnations whose operations are held.
 	Holding map[tarragonwell.Incarnation]uint32
 }
@@ -267,6 +271,8 @@
 		Entries: entries,
 		Bytes:   bytes,
 		Running: st.table.Running(),
+		Closing: st.closing != nil,
+		Parked:  len(st.parked),
 		Holding: st.table.Holding(),
 	}
 }
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -64,6 +65,9 @@
 	Alive   []tarragonwell.Member
 	known   map[string]bool
 	holders map[tarragonwell.Incarnation]string
+	// Leaving lists the targets that said they leave, and until when this is
+	// believed.
+	Leaving map[membership.TargetKey]time.Time
 	// Contact is when the platform last answered anyone heard of; zero for never.
 	Contact time.Time
 	// Reader says that the instance watches the platform for others.
@@ -337,6 +341,7 @@
 		Alive:   st.view.Alive(now),
 		known:   map[string]bool{},
 		holders: map[tarragonwell.Incarnation]string{},
+		Leaving: maps.Clone(st.view.Leaving()),
 		Contact: st.contact,
 		Reader:  st.view.IsReader(now, p.options.Common.Settings.Readers),
 		State:   st.view.Self.State,
--- /dev/null
+++ b/internal/platform/watch_test.go
@@ -0,0 +1,93 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
+)
+
+func watcherOf(t *testing.T, reader func() (bool, time.Time), read func(context.Context, bool, time.Duration) error) *Watcher {
+	t.Helper()
+	l, err := common.NewLogger(io.Discard, "error", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Watcher{
+		Common: &common.Common{
+			Settings: &settingsfile.Settings{
+				WatchWait:    time.Second,
+				BackoffLimit: 5 * time.Second,
+			},
+			Log:     l,
+			Metrics: metrics.NewSet(),
+			Clock:   common.SystemClock{},
+		},
+		Reader:  reader,
+		Read:    read,
+		Contact: func() {},
+		Name:    "test",
+	}
+}
+
+// TestReadsAreFew counts the reads of one instance in a minute of fake time.
+func TestReadsAreFew(t *testing.T) {
+	yes := func() (bool, time.Time) { return true, time.Time{} }
+	tests := []struct {
+		name        string
+		reader      func() (bool, time.Time)
+		read        func(context.Context, bool, time.Duration) error
+		least, most int
+	}{
+		{"a reader, without news", yes, func(ctx context.Context, _ bool, wait time.Duration) error {
+			sleep(ctx, wait)
+			return nil
+		}, 55, 70},
+		{"a reader, platform down", yes, func(context.Context, bool, time.Duration) error {
+			return errors.New("down")
+		}, 10, 40},
+		{"others read", func() (bool, time.Time) { return false, time.Now() }, nil, 0, 0},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reads := 0
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				watcherOf(t, x.reader, func(ctx context.Context, plain bool, wait time.Duration) error {
+					reads++
+					return x.read(ctx, plain, wait)
+				}).Run(ctx)
+				if reads < x.least || reads > x.most {
+					t.Errorf("got %d reads, want %d to %d", reads, x.least, x.most)
+				}
+			})
+		})
+	}
+}
+
+// TestSilenceMakesAReader holds that an instance which hears of no contact with
+// the platform reads for itself.
+func TestSilenceMakesAReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		last := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		var first time.Time
+		watcherOf(t, func() (bool, time.Time) { return false, last }, func(context.Context, bool, time.Duration) error {
+			first = time.Now()
+			cancel()
+			return nil
+		}).Run(ctx)
+		if got, limit := first.Sub(last), contactLimit+idleInterval*3/2; got <= contactLimit || got > limit {
+			t.Errorf("read after %v, want more than %v and at most %v", got, contactLimit, limit)
+		}
+	})
+}
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -52,7 +52,11 @@
 // hold reads a short answer whole.
 func (d *dispatch) hold(ctx context.Context, cancel context.CancelFunc, l *lease, a *tarragonwell.Answer, begin time.Time) (*tarragonwell.Answer, *tarragonwell.ExchangeError) {
 	limit := d.service.options.Common.Settings.HeldAnswerBytes
-	held, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	length := a.Length
+	if d.call.Method == http.MethodHead {
+		length = 0
+	}
+	held, err := readUpTo(a.Body, length, limit+1)
 	if err != nil {
 		_ = a.Body.Close()
 		cancel()
@@ -92,6 +96,17 @@
 	return a, nil
 }
 
+// readUpTo reads a body whole, or its first limit bytes. The length is -1 where
+// it isn't known.
+func readUpTo(body io.Reader, length, limit int64) ([]byte, error) {
+	if length < 0 || length >= limit {
+		return io.ReadAll(io.LimitReader(body, limit))
+	}
+	held := make([]byte, length)
+	_, err := io.ReadFull(body, held)
+	return held, err
+}
+
 func endOf(status int) scheduling.End {
 	if status >= http.StatusInternalServerError {
 		return scheduling.EndFailed
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -48,9 +48,8 @@
 
 // once makes one attempt and reports whether the call has ended.
 func (d *dispatch) once(ctx context.Context) (tarragonwell.Result, bool) {
-	waiting, cancel := context.WithDeadline(ctx, d.call.Deadline)
-	l, refusal := d.service.acquire(waiting, d.request())
-	cancel()
+	// The task refuses what waits past its deadline.
+	l, refusal := d.service.acquire(ctx, d.request())
 	if refusal != nil {
 		d.service.metrics.refused.Inc()
 		return d.refused(refusal), true
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -212,7 +212,7 @@
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
 			target := startScripted(t, x.script...)
-			r := dispatchTo(t, x.repeatable, target.address)
+			r := dispatchTo(t, http.MethodPost, x.repeatable, target.address)
 			if got, want := r.Outcome, x.outcome; got != want {
 				t.Errorf("outcome: got %v (%s), want %v", got, r.Reason, want)
 			}
@@ -224,7 +224,7 @@
 }
 
 // dispatchTo sends one call to a service of one target and reads the answer.
-func dispatchTo(t *testing.T, repeatable bool, address string) tarragonwell.Result {
+func dispatchTo(t *testing.T, method string, repeatable bool, address string) tarragonwell.Result {
 	t.Helper()
 	rule := ruleOf("s")
 	s := New(Options{
@@ -244,7 +244,7 @@
 	defer cancel()
 	r := s.Dispatch(ctx, &tarragonwell.Call{
 		ID:     "id",
-		Method: http.MethodPost,
+		Method: method,
 		Path:   "/x",
 		Route: &tarragonwell.Route{
 			Service: rule,
@@ -266,6 +266,20 @@
 	return r
 }
 
+// TestHeadHasALengthAndNoBody holds that the length told is the target's.
+func TestHeadHasALengthAndNoBody(t *testing.T) {
+	target := startScripted(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "500")
+	})
+	r := dispatchTo(t, http.MethodHead, true, target.address)
+	if got, want := r.Outcome, tarragonwell.OutcomeComplete; got != want {
+		t.Fatalf("got %v (%s), want %v", got, r.Reason, want)
+	}
+	if got, want := r.Answer.Length, int64(500); got != want {
+		t.Errorf("length: got %d, want %d", got, want)
+	}
+}
+
 func TestStoppedServiceRefuses(t *testing.T) {
 	s := New(Options{
 		Common: commonOf(t, common.SystemClock{}),
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -179,9 +179,10 @@
 			Leaving: leaving || (why == stateDraining && control.Holds(control.LeavingWord)),
 		}
 	}
+	stripHopByHop(r.Header)
 	return &tarragonwell.Answer{
 		Status:  r.StatusCode,
-		Header:  PassedOn(r.Header),
+		Header:  r.Header,
 		Body:    r.Body,
 		Length:  r.ContentLength,
 		Load:    load,
--- a/internal/target/headers.go
+++ b/internal/target/headers.go
@@ -44,15 +44,20 @@
 	if out == nil {
 		out = http.Header{}
 	}
-	for _, v := range out.Values("Connection") {
+	stripHopByHop(out)
+	return out
+}
+
+// stripHopByHop takes out the headers that belong to one connection.
+func stripHopByHop(h http.Header) {
+	for _, v := range h.Values("Connection") {
 		for name := range strings.SplitSeq(v, ",") {
-			out.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
-		out.Del(name)
+		h.Del(name)
 	}
-	return out
 }
 
 // parseLoad reads a target's report; nil where there is none.
--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -50,8 +50,6 @@
 // ChoiceInput is what a chooser may know of a call.
 type ChoiceInput struct {
 	Kind *Kind
-	// Latency is the kind's mean over all targets; 0 before the first answer.
-	Latency time.Duration
 	// ShortLatency is the mean of all short calls of the service.
 	ShortLatency time.Duration
 	// MeanOthers is the mean number of other instances' calls at a target, for
--- /dev/null
+++ b/pkg/tarragonwell/membership/view_test.go
@@ -0,0 +1,161 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func memberOf(n int, life byte, heartbeat uint64, s tarragonwell.MemberState) tarragonwell.Member {
+	return tarragonwell.Member{
+		PeerAddress: fmt.Sprintf("10.0.0.%d:1", n),
+		Incarnation: tarragonwell.Incarnation{byte(n), life},
+		Started:     start.Add(time.Duration(life) * time.Hour),
+		Heartbeat:   heartbeat,
+		State:       s,
+	}
+}
+
+func viewOf(n int) *View {
+	return &View{
+		Self: memberOf(n, 0, 1, tarragonwell.MemberServing),
+	}
+}
+
+func TestLaterNewsWins(t *testing.T) {
+	v := viewOf(0)
+	steps := []struct {
+		name    string
+		member  tarragonwell.Member
+		changed bool
+		state   tarragonwell.MemberState
+	}{
+		{"new", memberOf(1, 1, 5, tarragonwell.MemberServing), true, tarragonwell.MemberServing},
+		{"older heartbeat", memberOf(1, 1, 4, tarragonwell.MemberLeaving), false, tarragonwell.MemberServing},
+		{"leaves", memberOf(1, 1, 6, tarragonwell.MemberLeaving), true, tarragonwell.MemberLeaving},
+		{"replaced", memberOf(1, 2, 1, tarragonwell.MemberStarting), true, tarragonwell.MemberStarting},
+		{"former life", memberOf(1, 1, 99, tarragonwell.MemberServing), false, tarragonwell.MemberStarting},
+		{"own address", memberOf(0, 9, 99, tarragonwell.MemberGone), false, tarragonwell.MemberStarting},
+	}
+	for _, x := range steps {
+		if got, want := v.Merge(start, x.member), x.changed; got != want {
+			t.Errorf("%s: got changed %v, want %v", x.name, got, want)
+		}
+		all := v.All()
+		if got, want := len(all), 1; got != want {
+			t.Fatalf("%s: got %d records, want %d", x.name, got, want)
+		}
+		if got, want := all[0].State, x.state; got != want {
+			t.Errorf("%s: got %v, want %v", x.name, got, want)
+		}
+	}
+}
+
+// TestMergeAgrees merges the same news in drawn orders, some of it twice: all
+// views end up alike.
+func TestMergeAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var news []tarragonwell.Member
+		for range rapid.IntRange(1, 12).Draw(t, "count") {
+			news = append(news, memberOf(rapid.IntRange(1, 3).Draw(t, "n"), byte(rapid.IntRange(0, 2).Draw(t, "life")),
+				uint64(rapid.IntRange(0, 4).Draw(t, "heartbeat")), tarragonwell.MemberState(rapid.IntRange(1, 4).Draw(t, "state"))))
+		}
+		a, b := viewOf(0), viewOf(0)
+		for _, m := range news {
+			a.Merge(start, m)
+		}
+		for _, m := range append(rapid.Permutation(news).Draw(t, "order"), news[0]) {
+			b.Merge(start, m)
+		}
+		if got, want := fmt.Sprint(b.All()), fmt.Sprint(a.All()); got != want {
+			t.Fatalf("got %s, want %s", got, want)
+		}
+	})
+}
+
+func TestSilenceEndsUseButNotMemory(t *testing.T) {
+	v := viewOf(0)
+	v.Merge(start, memberOf(1, 1, 1, tarragonwell.MemberServing))
+	later := start.Add(aliveFor)
+	if got, want := len(v.Alive(later)), 0; got != want {
+		t.Errorf("alive: got %d, want %d", got, want)
+	}
+	if got, want := v.Known("10.0.0.1:1"), true; got != want {
+		t.Errorf("known: got %v, want %v", got, want)
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	if got, want := len(v.Pick(later, 2, r)) > 0, true; got != want {
+		t.Errorf("a silent peer is tried: got %v, want %v", got, want)
+	}
+	v.Expire(start.Add(remembered + time.Second))
+	if got, want := len(v.All()), 0; got != want {
+		t.Errorf("after expiry: got %d, want %d", got, want)
+	}
+}
+
+func TestSamplesStaySmall(t *testing.T) {
+	v := viewOf(0)
+	for n := 1; n < 200; n++ {
+		v.Merge(start, memberOf(n, 1, 1, tarragonwell.MemberServing))
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	sample := v.Sample(start, 8, r)
+	if got, want := len(sample), 8; got != want {
+		t.Errorf("sample: got %d, want %d", got, want)
+	}
+	if got, want := sample[0].PeerAddress, v.Self.PeerAddress; got != want {
+		t.Errorf("first: got %s, want %s", got, want)
+	}
+	readers := 0
+	for n := range 200 {
+		x := viewOf(n)
+		for k := range 200 {
+			x.Merge(start, memberOf(k, 0, 1, tarragonwell.MemberServing))
+		}
+		if x.IsReader(start, 6) {
+			readers++
+		}
+	}
+	if got, want := readers, 6; got != want {
+		t.Errorf("readers with one view: got %d, want %d", got, want)
+	}
+}
+
+func TestHoldersFollowTheChain(t *testing.T) {
+	v := viewOf(0)
+	holder := func(generation uint32, address string) tarragonwell.Holder {
+		return tarragonwell.Holder{
+			Incarnation: tarragonwell.Incarnation{1},
+			PeerAddress: address,
+			Generation:  generation,
+			Until:       start.Add(time.Minute),
+		}
+	}
+	for _, x := range []struct {
+		holder tarragonwell.Holder
+		news   bool
+	}{
+		{holder(2, "c"), true},
+		{holder(1, "b"), false},
+		{holder(2, "c"), false},
+		{holder(3, "d"), true},
+	} {
+		if got, want := v.MergeHolder(x.holder), x.news; got != want {
+			t.Errorf("generation %d: got news %v, want %v", x.holder.Generation, got, want)
+		}
+	}
+	if got, want := v.Holders()[0].PeerAddress, "d"; got != want {
+		t.Errorf("holder: got %s, want %s", got, want)
+	}
+	v.Expire(start.Add(2 * time.Minute))
+	if got, want := len(v.Holders()), 0; got != want {
+		t.Errorf("after expiry: got %d, want %d", got, want)
+	}
+}
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -4,12 +4,8 @@
 package scheduling
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
@@ -120,81 +116,6 @@
 	}
 }
 
-// SetTargets takes in the platform's list of the service's targets and returns
-// the addresses that are new and those that are gone.
-func (s *Scheduler) SetTargets(now time.Time, list []tarragonwell.ListedTarget) (joined, left []string) {
-	listed := map[string]tarragonwell.ListedTarget{}
-	for _, l := range list {
-		listed[l.Address] = l
-	}
-	first := len(s.targets) == 0
-	s.targets = slices.DeleteFunc(s.targets, func(t *tarragonwell.TargetState) bool {
-		_, keep := listed[t.Address]
-		if !keep {
-			left = append(left, t.Address)
-		}
-		return !keep
-	})
-	for _, l := range list {
-		if s.find(l.Address) == nil {
-			s.join(now, l, first)
-			joined = append(joined, l.Address)
-		}
-		s.find(l.Address).ListedLeaving = l.Leaving
-	}
-	s.rank()
-	return joined, left
-}
-
-// join adds a target. At the start of the instance all targets are taken as
-// warm, for the rest of the fleet has used them before.
-func (s *Scheduler) join(now time.Time, l tarragonwell.ListedTarget, warm bool) {
-	s.joins++
-	t := &tarragonwell.TargetState{
-		Address:    l.Address,
-		Join:       s.joins,
-		DataCenter: l.DataCenter,
-		Local:      l.DataCenter == s.options.DataCenter,
-		Slots:      s.options.Service.Slots,
-	}
-	if !warm {
-		t.RampFrom = now
-	}
-	s.targets = append(s.targets, t)
-}
-
-// rank orders the targets for long work by rendezvous hashing, which moves few
-// of them when one joins or leaves.
-func (s *Scheduler) rank() {
-	byHash := slices.Clone(s.targets)
-	weight := func(t *tarragonwell.TargetState) uint64 {
-		return xxhash.Sum64String(s.options.Service.Name + " " + t.Address)
-	}
-	slices.SortFunc(byHash, func(a, b *tarragonwell.TargetState) int {
-		return cmp.Compare(weight(a), weight(b))
-	})
-	for i, t := range byHash {
-		t.LongRank = i
-	}
-	slices.SortFunc(s.targets, func(a, b *tarragonwell.TargetState) int {
-		return cmp.Compare(a.Address, b.Address)
-	})
-}
-
-// MarkLeaving takes in the word of a target or peer that a target leaves. It
-// reports whether this is news.
-func (s *Scheduler) MarkLeaving(now time.Time, address string, until time.Time) bool {
-	t := s.find(address)
-	if t == nil {
-		return false
-	}
-	news := !t.Leaving(now)
-	if until.After(t.LeavingUntil) {
-		t.LeavingUntil = until
-	}
-	return news
-}
-
 // Acquire decides on a call at once, or lets it wait.
 func (s *Scheduler) Acquire(now time.Time, r Request) Decision {
 	if r.Retry {
@@ -304,16 +225,6 @@
 	return s.limiter.Limit(s.slots())
 }
 
-// slots counts the slots of all targets.
-func (s *Scheduler) slots() int {
-	return len(s.targets) * s.options.Service.Slots
-}
-
-// Targets returns the states, for reports.
-func (s *Scheduler) Targets() []*tarragonwell.TargetState {
-	return s.targets
-}
-
 // Suspend holds all grants back, because what is known of the targets may be
 // long out of date. Resume, or the time given, ends this.
 func (s *Scheduler) Suspend(until time.Time) {
@@ -350,81 +261,9 @@
 func (s *Scheduler) choiceInput(k *tarragonwell.Kind) tarragonwell.ChoiceInput {
 	return tarragonwell.ChoiceInput{
 		Kind:         k,
-		Latency:      s.stats(k).mean(),
 		ShortLatency: s.shortLatency,
 		MeanOthers:   s.meanOthers,
 		Ramp:         s.options.Service.Ramp,
 		Entitled:     s.entitled(k),
 	}
 }
-
-// entitled reports whether the instance has fewer calls in flight than its share
-// of the slots that the kind may use.
-func (s *Scheduler) entitled(k *tarragonwell.Kind) bool {
-	sharers := max(1, s.options.Sharers)
-	if k.Long {
-		return float64(s.inFlightLong*sharers) < s.longShare(k)*float64(s.slots())
-	}
-	return s.inFlight*sharers < s.slots()
-}
-
-// usable lists the targets that may take a call of the waiter's kind. A call
-// that has tried some goes to another one, if need be outside of the kind's
-// share; where nothing is left, the exclusions and ejections do not count.
-func (s *Scheduler) usable(now time.Time, w *admission.Waiter) []*tarragonwell.TargetState {
-	fresh := func(t *tarragonwell.TargetState) bool {
-		return !ejected(now, t) && !slices.Contains(w.Exclude, t.Address)
-	}
-	s.filter(func(t *tarragonwell.TargetState) bool { return s.mayTake(now, t, w.Kind) && fresh(t) })
-	if len(s.eligible) == 0 && len(w.Exclude) > 0 {
-		s.filter(func(t *tarragonwell.TargetState) bool { return !t.Leaving(now) && fresh(t) })
-	}
-	if len(s.eligible) == 0 {
-		s.filter(func(t *tarragonwell.TargetState) bool { return s.mayTake(now, t, w.Kind) })
-	}
-	return s.eligible
-}
-
-// filter sets eligible to the targets that keep returns true for.
-func (s *Scheduler) filter(keep func(*tarragonwell.TargetState) bool) {
-	s.eligible = s.eligible[:0]
-	for _, t := range s.targets {
-		if keep(t) {
-			s.eligible = append(s.eligible, t)
-		}
-	}
-}
-
-// mayTake reports whether a target takes work of the kind at all. Long kinds
-// are kept to a share of the targets.
-func (s *Scheduler) mayTake(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) bool {
-	if t.Leaving(now) {
-		return false
-	}
-	if !k.Long || k.SlotShare >= 1 {
-		return true
-	}
-	share := s.longShare(k)
-	if len(s.targets) == 1 {
-		return t.InFlightLong < max(1, int(share*float64(t.Slots)))
-	}
-	return t.LongRank < max(1, int(share*float64(len(s.targets))))
-}
-
-// ejected reports whether a target is out for its failures. After the ejection
-// one trial call at a time decides.
-func ejected(now time.Time, t *tarragonwell.TargetState) bool {
-	if t.ConsecutiveFailures < ejectAfter {
-		return false
-	}
-	return now.Before(t.EjectedUntil) || t.InFlight > 0
-}
-
-func (s *Scheduler) find(address string) *tarragonwell.TargetState {
-	for _, t := range s.targets {
-		if t.Address == address {
-			return t
-		}
-	}
-	return nil
-}
--- a/test/history/standard.go
+++ b/test/history/standard.go
@@ -1,7 +1,9 @@
 package history
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -81,3 +83,47 @@
 		InstancesAtMost: standardAtMost,
 	}
 }
+
+// planSorts is the number of sorts of plans that seeds take turns with.
+const planSorts = 5
+
+// SeededPlan is the plan of one seed: of five seeds, three draw from all
+// faults, one stops instances as planned, behind the balancer, and must break
+// no connection, and one lets a target leave for good beside other faults.
+func SeededPlan(program, folder string, net [2]byte, seed uint64, kinds []FaultKind, faults int, duration time.Duration) Plan {
+	p := StandardPlan(program, folder, net, seed)
+	p.Duration = duration
+	switch {
+	case len(kinds) > 0:
+		p.Faults = Schedule(seed, kinds, faults, duration)
+	case seed%planSorts == 3:
+		p.ThroughBalancer = true
+		p.NothingBroken = true
+		p.Fleet.BalancerLag = 200 * time.Millisecond
+		p.Faults = Schedule(seed, []FaultKind{FaultStop}, standardInstances-1, duration)
+	case seed%planSorts == 4:
+		p.Act = func(ctx context.Context, j *Injector) {
+			sleep(ctx, duration/4)
+			j.Drain(j.Fleet.Targets["booking-tracking"][0])
+		}
+		others := slices.DeleteFunc(slices.Clone(AllFaults), func(k FaultKind) bool { return k == FaultDrain })
+		p.Faults = Schedule(seed, others, faults, duration)
+	default:
+		p.Faults = Schedule(seed, AllFaults, faults, duration)
+	}
+	return p
+}
+
+// Checks reports whether a run of the plan checks a promise.
+func (p Plan) Checks(promise string) bool {
+	switch promise {
+	case PromiseStop:
+		return p.NothingBroken
+	case PromiseLeaving:
+		return p.Act != nil
+	case PromiseProbes:
+		return p.ProbeBudget > 0
+	default:
+		return true
+	}
+}
--- a/test/prove/main.go
+++ b/test/prove/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"sort"
-	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -39,9 +38,18 @@
 	faults     int
 	worst      time.Duration
 	violations map[string]int
-	printed    int
-	errors     int
-	outcomes   map[string]map[tarragonwell.Outcome]int
+	// checked counts the runs and operations by promise.
+	checked  map[string]*checked
+	printed  int
+	errors   int
+	outcomes map[string]map[tarragonwell.Outcome]int
+}
+
+// checked is how much one promise was checked.
+type checked struct {
+	runs       int
+	operations int
+	faults     int
 }
 
 func main() {
@@ -60,6 +68,7 @@
 	}
 	t := &totals{
 		violations: map[string]int{},
+		checked:    map[string]*checked{},
 		outcomes:   map[string]map[tarragonwell.Outcome]int{},
 	}
 	seeds := make(chan uint64)
@@ -90,17 +99,12 @@
 		return
 	}
 	defer os.RemoveAll(folder)
-	kinds := history.AllFaults
-	if len(o.Only) > 0 {
-		kinds = nil
-		for _, k := range o.Only {
-			kinds = append(kinds, history.FaultKind(k))
-		}
+	var kinds []history.FaultKind
+	for _, k := range o.Only {
+		kinds = append(kinds, history.FaultKind(k))
 	}
-	plan := history.StandardPlan(program, folder, [2]byte{70 + worker, byte(seed)}, seed)
-	plan.Duration = o.Duration
+	plan := history.SeededPlan(program, folder, [2]byte{70 + worker, byte(seed)}, seed, kinds, o.Faults, o.Duration)
 	plan.Callers = o.Callers
-	plan.Faults = history.Schedule(seed, kinds, o.Faults, o.Duration)
 	r, err := history.Execute(plan)
 	if err != nil {
 		t.fail(seed, err)
@@ -122,6 +126,7 @@
 	t.runs++
 	t.faults += len(plan.Faults)
 	t.worst = max(t.worst, r.Behind)
+	t.countChecked(plan, r)
 	for _, c := range r.Calls {
 		t.operations++
 		if c.Final {
@@ -147,11 +152,30 @@
 	}
 }
 
+func (t *totals) countChecked(plan history.Plan, r *history.Report) {
+	for _, p := range history.Promises {
+		c := t.checked[p]
+		if c == nil {
+			c = &checked{}
+			t.checked[p] = c
+		}
+		if plan.Checks(p) {
+			c.runs++
+			c.operations += len(r.Calls)
+			c.faults += len(plan.Faults)
+		}
+	}
+}
+
 func (t *totals) print() {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "PROMISE\tRUNS\tOPERATIONS\tFAULTS\tVIOLATIONS")
 	for _, p := range history.Promises {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", p, t.runs, t.operations, t.faults, t.violations[p])
+		c := t.checked[p]
+		if c == nil {
+			c = &checked{}
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", p, c.runs, c.operations, c.faults, t.violations[p])
 	}
 	fmt.Fprintln(w, "\nKIND\tCOMPLETE\tNOT-RUN\tUNKNOWN")
 	var kinds []string
@@ -170,5 +194,5 @@
 	}
 	fmt.Printf("\nticketed operations that ended unknown: %d of %d (%.2f%%)\n", t.unknown, t.ticketed, share)
 	fmt.Printf("longest wait for the last rules after the faults: %v\n", t.worst.Round(time.Millisecond))
-	fmt.Println(strings.Repeat("-", 20), "runs that failed to start:", t.errors)
+	fmt.Printf("runs %d, operations %d, faults %d, runs that failed to start %d\n", t.runs, t.operations, t.faults, t.errors)
 }
