Bound the bodies in hand; refuse calls past their deadline at once

Cause: reading the path: bodies of all requests together had no bound, and a call whose deadline had passed was granted a target where one was free. Change: limits.held-request-bytes; the scheduler refuses first. Measured: TestRequestsInHandAreBounded, TestRefusesWhatCannotMeetItsDeadline.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -49,6 +49,8 @@
 	options Options
 	nextID  atomic.Uint64
 	prefix  string
+	// held counts the bytes of request bodies in hand.
+	held atomic.Int64
 }
 
 // NewServer returns a server.
@@ -90,9 +92,15 @@
 	}
 	routing := s.options.Routing()
 	if routing == nil {
-		s.notReady(w, r)
+		s.notNow(w, r, "no rules are in force yet")
 		return
 	}
+	release, ok := s.reserve(r)
+	if !ok {
+		s.notNow(w, r, "too many requests are in hand")
+		return
+	}
+	defer release()
 	if !cleanPath(r.URL.Path) {
 		s.refuse(w, r, http.StatusBadRequest, "the path has dot segments")
 		return
@@ -118,14 +126,29 @@
 	outcome = s.serve(w, r, routing, call)
 }
 
-// notReady refuses a request for now. One with a ticket may have been run by an
+// reserve makes room for a request's body, so that the memory for bodies stays
+// bounded whatever callers send.
+func (s *Server) reserve(r *http.Request) (release func(), ok bool) {
+	size := s.options.Common.Settings.RequestBodyBytes
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+	release = func() { s.held.Add(-size) }
+	if s.held.Add(size) > s.options.Common.Settings.HeldRequestBytes {
+		release()
+		return nil, false
+	}
+	return release, true
+}
+
+// notNow refuses a request for now. One with a ticket may have been run by an
 // earlier attempt, and may be run by a later one.
-func (s *Server) notReady(w http.ResponseWriter, r *http.Request) {
+func (s *Server) notNow(w http.ResponseWriter, r *http.Request, reason string) {
 	outcome := tarragonwell.OutcomeNotRun
 	if r.Header.Get(HeaderTicket) != "" {
 		outcome = tarragonwell.OutcomeUnknown
 	}
-	writeOutcome(w, outcome, http.StatusServiceUnavailable, "no rules are in force yet", time.Second)
+	writeOutcome(w, outcome, http.StatusServiceUnavailable, reason, time.Second)
 }
 
 // refuse ends a request that can't be passed on. One with a ticket is settled
--- /dev/null
+++ b/internal/caller/server_test.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
+	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+const rulesText = `- {service: {name: s, organisation: o, slots: 1, connections: 1}}  # test
+- {kind: {name: k, organisation: o, repeatable: true}}  # test
+- {route: {path: /x, service: s, kind: k}}  # test
+`
+
+// blocked is a dispatcher whose calls end when it is released.
+type blocked struct {
+	entered chan *tarragonwell.Call
+	release chan tarragonwell.Result
+}
+
+func (b *blocked) Dispatch(_ context.Context, c *tarragonwell.Call) tarragonwell.Result {
+	b.entered <- c
+	return <-b.release
+}
+
+func serverOf(t *testing.T, d tarragonwell.Dispatcher) *Server {
+	t.Helper()
+	set, err := rulesfile.Parse("rules", 1, []byte(rulesText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := common.NewLogger(io.Discard, "error", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := metrics.NewSet()
+	routing := NewRouting(set, map[string]tarragonwell.Dispatcher{
+		"s": d,
+	}, m)
+	return NewServer(Options{
+		Common: &common.Common{
+			Settings: &settingsfile.Settings{
+				RequestBodyBytes: 100,
+				HeldRequestBytes: 150,
+			},
+			Log:     l,
+			Metrics: m,
+			Clock:   common.SystemClock{},
+		},
+		Routing: func() *Routing { return routing },
+		Leaving: func() bool { return false },
+	})
+}
+
+func post(s *Server, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(body)))
+	return w
+}
+
+func TestRequestsInHandAreBounded(t *testing.T) {
+	b := &blocked{
+		entered: make(chan *tarragonwell.Call),
+		release: make(chan tarragonwell.Result),
+	}
+	s := serverOf(t, b)
+	first := make(chan *httptest.ResponseRecorder)
+	go func() { first <- post(s, strings.Repeat("a", 100)) }()
+	<-b.entered
+	w := post(s, strings.Repeat("b", 100))
+	if got, want := w.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("beyond the bound: got %d, want %d", got, want)
+	}
+	if got, want := w.Header().Get(HeaderOutcome), "not-run"; got != want {
+		t.Errorf("beyond the bound: got %q, want %q", got, want)
+	}
+	b.release <- tarragonwell.Result{
+		Outcome:    tarragonwell.OutcomeNotRun,
+		Reason:     "busy",
+		RetryAfter: 1500 * time.Millisecond,
+	}
+	w = <-first
+	if got, want := w.Header().Get("Retry-After"), "2"; got != want {
+		t.Errorf("retry after: got %q, want %q", got, want)
+	}
+	if got, want := s.held.Load(), int64(0); got != want {
+		t.Errorf("held afterwards: got %d, want %d", got, want)
+	}
+}
+
+func TestCallerBudgetsAreBounded(t *testing.T) {
+	s := serverOf(t, nil)
+	k := &tarragonwell.Kind{
+		Deadline: time.Second,
+	}
+	tests := []struct {
+		deadline, retries string
+		most              time.Duration
+		left              int
+	}{
+		{"", "", time.Second, 1},
+		{"nonsense", "-4", time.Second, 0},
+		{"99999999999999", "99", time.Second, maxRetries},
+		{"1", "2", 0, 2},
+	}
+	for _, x := range tests {
+		r := httptest.NewRequest(http.MethodGet, "/x", nil)
+		r.Header.Set("Tarragonwell-Deadline", x.deadline)
+		r.Header.Set("Tarragonwell-Retries-Left", x.retries)
+		if x.retries == "" {
+			r.Header.Del("Tarragonwell-Retries-Left")
+		}
+		if got := time.Until(s.deadline(r, k)); got > x.most {
+			t.Errorf("deadline %q: got %v, want at most %v", x.deadline, got, x.most)
+		}
+		if got, want := retriesLeft(r), x.left; got != want {
+			t.Errorf("retries %q: got %d, want %d", x.retries, got, want)
+		}
+	}
+}
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -33,6 +33,8 @@
 	DrainLimit       time.Duration
 	// RequestBodyBytes bounds a request's body.
 	RequestBodyBytes int64
+	// HeldRequestBytes bounds the bodies of all requests in hand.
+	HeldRequestBytes int64
 	// HeldAnswerBytes bounds an answer that is held until complete.
 	HeldAnswerBytes int64
 	Operations      int
@@ -51,6 +53,7 @@
 	defaultBalancerWait     = 5 * time.Second
 	defaultDrainLimit       = 10 * time.Minute
 	defaultRequestBodyBytes = 1 << 20
+	defaultHeldRequestBytes = 64 << 20
 	defaultHeldAnswerBytes  = 256 << 10
 	defaultOperations       = 200_000
 	defaultOperationBytes   = 32 << 20
@@ -112,6 +115,7 @@
 		BalancerWait:     c.Duration("shutdown.balancer-wait", m.GetShutdown().GetBalancerWait(), defaultBalancerWait),
 		DrainLimit:       c.Duration("shutdown.drain-limit", m.GetShutdown().GetDrainLimit(), defaultDrainLimit),
 		RequestBodyBytes: orDefault(int64(m.GetLimits().GetRequestBodyBytes()), defaultRequestBodyBytes),
+		HeldRequestBytes: orDefault(int64(m.GetLimits().GetHeldRequestBytes()), defaultHeldRequestBytes),
 		HeldAnswerBytes:  orDefault(int64(m.GetLimits().GetHeldAnswerBytes()), defaultHeldAnswerBytes),
 		Operations:       orDefault(int(m.GetLimits().GetOperations()), defaultOperations),
 		OperationBytes:   orDefault(int(m.GetLimits().GetOperationBytes()), defaultOperationBytes),
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -118,6 +118,9 @@
 
 // Acquire decides on a call at once, or lets it wait.
 func (s *Scheduler) Acquire(now time.Time, r Request) Decision {
+	if !now.Before(r.Deadline) {
+		return refuse(r.ID, ReasonDeadline, 0)
+	}
 	if r.Retry {
 		if !s.retries.Spend() {
 			return refuse(r.ID, ReasonRetries, 0)
--- a/pkg/tarragonwell/scheduling/scheduler_test.go
+++ b/pkg/tarragonwell/scheduling/scheduler_test.go
@@ -263,6 +263,14 @@
 	if got, want := d.Refusal.Reason, ReasonDeadline; got != want {
 		t.Errorf("at once: got %q, want %q", got, want)
 	}
+	late := s.Acquire(now, Request{
+		ID:       100,
+		Kind:     short,
+		Deadline: now,
+	})
+	if got, want := late.Refusal.Reason, ReasonDeadline; got != want {
+		t.Errorf("past its deadline: got %q, want %q", got, want)
+	}
 	now = now.Add(960 * time.Millisecond)
 	refused := 0
 	for _, d := range s.Poll(now) {
