--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -73,6 +73,7 @@
 		RulesNews:     i.rulesNews,
 		ListNews:      i.listNews,
 		TargetLeaving: i.targetLeaving,
+		TargetSuspect: i.targetSuspect,
 	})
 	i.documents.peers = i.peers
 	i.platform = &platform.Client{
@@ -116,6 +117,12 @@
 	})
 }
 
+func (i *Instance) targetSuspect(service, address string, until time.Time) {
+	if s := i.documents.published.Load().services[service]; s != nil {
+		s.MarkSuspect(address, until)
+	}
+}
+
 // Run serves until ctx ends, then leaves gracefully. It fails with ErrListen.
 func (i *Instance) Run(ctx context.Context) error {
 	l, err := i.listen()
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -101,6 +101,7 @@
 		Sharers:     counts.serving,
 		Targets:     targets,
 		TellLeaving: d.peers.TellLeaving,
+		TellSuspect: d.peers.TellSuspect,
 		Confirm: func() {
 			d.mailbox.TryPost(confirmRequest{})
 		},
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -21,8 +21,11 @@
 	rules        *pb.RulesVersion
 	holders      []*pb.Holder
 	leaving      []*pb.LeavingTarget
+	suspects     []*pb.SuspectTarget
 	platformAge  time.Duration
 	listRevision uint64
+	// brief leaves out the sample of members and wants the same in return.
+	brief bool
 }
 
 // stateMessage changes the instance's own state.
@@ -42,6 +45,13 @@
 	until   time.Time
 }
 
+// suspectNews records that a target has fallen silent or fails, and passes it on.
+type suspectNews struct {
+	service string
+	address string
+	until   time.Time
+}
+
 // versionsNews is what the instance has in force.
 type versionsNews struct {
 	rules        tarragonwell.RulesVersion
@@ -64,8 +74,10 @@
 		Rules:         n.rules,
 		Holders:       n.holders,
 		Leaving:       n.leaving,
+		Suspects:      n.suspects,
 		PlatformAgeMs: millis(n.platformAge),
 		ListRevision:  n.listRevision,
+		Brief:         n.brief,
 	}
 }
 
@@ -75,6 +87,7 @@
 		Rules:         n.rules,
 		Holders:       n.holders,
 		Leaving:       n.leaving,
+		Suspects:      n.suspects,
 		PlatformAgeMs: millis(n.platformAge),
 		ListRevision:  n.listRevision,
 	}
@@ -86,6 +99,7 @@
 	GetRules() *pb.RulesVersion
 	GetHolders() []*pb.Holder
 	GetLeaving() []*pb.LeavingTarget
+	GetSuspects() []*pb.SuspectTarget
 	GetPlatformAgeMs() uint32
 	GetListRevision() uint64
 }
@@ -96,6 +110,7 @@
 		rules:        c.GetRules(),
 		holders:      c.GetHolders(),
 		leaving:      c.GetLeaving(),
+		suspects:     c.GetSuspects(),
 		platformAge:  duration(c.GetPlatformAgeMs()),
 		listRevision: c.GetListRevision(),
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -54,10 +54,12 @@
 	if len(r.Msg.GetMembers()) > 0 {
 		from = r.Msg.GetMembers()[0].GetPeerAddress()
 	}
+	heard := newsOf(r.Msg)
+	heard.brief = r.Msg.GetBrief()
 	answer, err := task.Ask(ctx, s.Peers.mailbox, func(reply chan<- news) any {
 		return heardMessage{
 			from:  from,
-			news:  newsOf(r.Msg),
+			news:  heard,
 			reply: reply,
 		}
 	})
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -27,14 +27,21 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// pushFanOut is the number of peers that news is passed on to at once.
 	pushFanOut = 3
-	// byteBudget is what exchanges may use, in bytes a second, both directions.
-	byteBudget = 5 << 10
-	byteBurst  = 20 << 10
+	// roundBudget and suspectBudget are what exchanges may use, in bytes a second,
+	// both directions: together what a node may spend. They are apart, so that
+	// suspicions in a bad hour hold no rules back.
+	roundBudget   = 3 << 10
+	suspectBudget = 2 << 10
+	byteBurst     = 16 << 10
+	// suspectFanOut is the number of peers told of a suspect target. They do not
+	// pass it on: it is old news by then.
+	suspectFanOut = 6
 	// messageOverhead estimates what HTTP adds to a message, in bytes.
 	messageOverhead = 120
-	// maxHolders and maxLeaving bound the records in one message.
-	maxHolders = 16
-	maxLeaving = 16
+	// maxHolders, maxLeaving and maxSuspects bound the records in one message.
+	maxHolders  = 16
+	maxLeaving  = 16
+	maxSuspects = 16
 )
 
 // Options configures Peers.
@@ -44,6 +51,8 @@
 	RulesNews func(from string, v tarragonwell.RulesVersion)
 	// ListNews is told that a peer has a newer list. It must not block.
 	ListNews func(from string, revision uint64)
+	// TargetSuspect is told of a peer's word that a target has fallen silent.
+	TargetSuspect func(service, address string, until time.Time)
 	// TargetLeaving is told of a peer's word that a target leaves.
 	TargetLeaving func(service, address string, until time.Time, from string)
 }
@@ -55,7 +64,8 @@
 	mailbox  *task.Mailbox[any]
 	snapshot atomic.Pointer[Snapshot]
 	client   *http.Client
-	limiter  *rate.Limiter
+	rounds   *rate.Limiter
+	suspects *rate.Limiter
 	skipped  func()
 }
 
@@ -87,10 +97,11 @@
 // New returns peers that aren't running yet.
 func New(o Options) *Peers {
 	p := &Peers{
-		options: o,
-		mailbox: task.NewMailbox[any](mailboxSize),
-		client:  newClient(o.Common),
-		limiter: rate.NewLimiter(byteBudget, byteBurst),
+		options:  o,
+		mailbox:  task.NewMailbox[any](mailboxSize),
+		client:   newClient(o.Common),
+		rounds:   rate.NewLimiter(roundBudget, byteBurst),
+		suspects: rate.NewLimiter(suspectBudget, byteBurst),
 	}
 	p.skipped = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_rounds_skipped_total").Inc
 	p.snapshot.Store(&Snapshot{})
@@ -146,6 +157,15 @@
 	})
 }
 
+// TellSuspect passes on that a target has fallen silent or fails.
+func (p *Peers) TellSuspect(service, address string, until time.Time) {
+	p.mailbox.TryPost(suspectNews{
+		service: service,
+		address: address,
+		until:   until,
+	})
+}
+
 // Run owns the view until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	defer p.mailbox.Stop()
@@ -164,6 +184,9 @@
 			if p.handle(st, m) {
 				p.round(ctx, st, pushFanOut, &exchanges)
 			}
+			if _, ok := m.(suspectNews); ok {
+				p.tellSuspects(ctx, st, &exchanges)
+			}
 		case <-timer.C:
 			st.view.Self.Heartbeat++
 			st.view.Expire(p.options.Common.Clock.Now())
@@ -198,7 +221,7 @@
 	case heardMessage:
 		push := p.hear(now, st, m.from, m.news)
 		if m.reply != nil {
-			m.reply <- p.news(now, st)
+			m.reply <- p.news(now, st, m.news.brief)
 		}
 		return push
 	case stateMessage:
@@ -216,12 +239,14 @@
 	case holderNews:
 		return st.view.MergeHolder(m.holder)
 	case leavingNews:
-		return st.view.MergeLeaving(leavingKey(m.service, m.address), m.until)
+		return st.view.MergeLeaving(now, keyOf(m.service, m.address), m.until)
+	case suspectNews:
+		st.view.MergeSuspect(now, keyOf(m.service, m.address), m.until)
 	}
 	return false
 }
 
-func leavingKey(service, address string) membership.TargetKey {
+func keyOf(service, address string) membership.TargetKey {
 	return membership.TargetKey{
 		Service: service,
 		Address: address,
@@ -243,11 +268,17 @@
 	}
 	for _, l := range n.leaving {
 		until := now.Add(duration(l.GetRemainingMs()))
-		if st.view.MergeLeaving(leavingKey(l.GetService(), l.GetAddress()), until) {
+		if st.view.MergeLeaving(now, keyOf(l.GetService(), l.GetAddress()), until) {
 			p.options.TargetLeaving(l.GetService(), l.GetAddress(), until, from)
 			push = true
 		}
 	}
+	for _, x := range n.suspects {
+		until := now.Add(duration(x.GetRemainingMs()))
+		if st.view.MergeSuspect(now, keyOf(x.GetService(), x.GetAddress()), until) {
+			p.options.TargetSuspect(x.GetService(), x.GetAddress(), until)
+		}
+	}
 	contact := now.Add(-n.platformAge)
 	if len(n.members) > 0 && n.platformAge < neverAge && contact.After(st.contact) {
 		st.contact = contact
@@ -273,16 +304,21 @@
 }
 
 // news is what a peer is told now.
-func (p *Peers) news(now time.Time, st *state) news {
+func (p *Peers) news(now time.Time, st *state, brief bool) news {
 	n := news{
 		rules:        versionMessage(st.rules),
 		platformAge:  neverAge,
 		listRevision: st.listRevision,
+		brief:        brief,
 	}
 	if !st.contact.IsZero() {
 		n.platformAge = now.Sub(st.contact)
 	}
-	for _, m := range st.view.Sample(now, p.options.Common.Settings.Sample, st.random) {
+	sample := p.options.Common.Settings.Sample
+	if brief {
+		sample = 1
+	}
+	for _, m := range st.view.Sample(now, sample, st.random) {
 		n.members = append(n.members, MemberMessage(m))
 	}
 	for _, h := range st.view.Holders() {
@@ -299,16 +335,35 @@
 			})
 		}
 	}
+	for k, until := range st.view.Suspects() {
+		if len(n.suspects) < maxSuspects && until.After(now) {
+			n.suspects = append(n.suspects, &pb.SuspectTarget{
+				Service:     k.Service,
+				Address:     k.Address,
+				RemainingMs: millis(until.Sub(now)),
+			})
+		}
+	}
 	return n
 }
 
 // round exchanges news with a few peers, within the byte budget.
 func (p *Peers) round(ctx context.Context, st *state, fanOut int, exchanges *sync.WaitGroup) {
 	now := p.options.Common.Clock.Now()
-	request := p.news(now, st).request()
+	p.tell(ctx, st.view.Pick(now, fanOut, st.random), p.news(now, st, false), p.rounds, exchanges)
+}
+
+// tellSuspects tells a few peers of suspect targets, within its own budget.
+func (p *Peers) tellSuspects(ctx context.Context, st *state, exchanges *sync.WaitGroup) {
+	now := p.options.Common.Clock.Now()
+	p.tell(ctx, st.view.Pick(now, suspectFanOut, st.random), p.news(now, st, true), p.suspects, exchanges)
+}
+
+func (p *Peers) tell(ctx context.Context, peers []tarragonwell.Member, n news, budget *rate.Limiter, exchanges *sync.WaitGroup) {
+	request := n.request()
 	size := 2 * (proto.Size(request) + messageOverhead)
-	for _, m := range st.view.Pick(now, fanOut, st.random) {
-		if !p.limiter.AllowN(now, size) {
+	for _, m := range peers {
+		if !budget.AllowN(p.options.Common.Clock.Now(), size) {
 			p.skipped()
 			return
 		}
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -50,6 +50,12 @@
 	from    string
 }
 
+// suspectMessage takes in a peer's word that a target has fallen silent.
+type suspectMessage struct {
+	address string
+	until   time.Time
+}
+
 // resumeMessage says that the targets have been confirmed after a pause.
 type resumeMessage struct{}
 
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
 func (s *Service) sendProbes(now time.Time, st *state) {
@@ -37,6 +38,18 @@
 	}
 }
 
+// tellSuspects passes on which targets have fallen silent or fail: the first
+// instance to see it spares the others the calls.
+func (s *Service) tellSuspects(now time.Time, st *state) {
+	if s.options.TellSuspect == nil || now.Sub(st.scanned) < suspectScan {
+		return
+	}
+	st.scanned = now
+	for _, a := range st.scheduler.Suspects(now) {
+		s.options.TellSuspect(st.rule.Name, a, scheduling.SuspectUntil(now))
+	}
+}
+
 // leaving marks a target. A target's own word is passed on to the peers.
 func (s *Service) leaving(now time.Time, st *state, address string, until time.Time, from string) {
 	news := st.scheduler.MarkLeaving(now, address, until)
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -25,6 +25,8 @@
 	// pollInterval is how often waiting calls are looked at while there are any
 	// and nothing else happens.
 	pollInterval = 2 * time.Millisecond
+	// suspectScan is how often silent targets are looked for, at most.
+	suspectScan = 10 * time.Millisecond
 	// pulseInterval is the longest time between two turns of the task, unless
 	// the process was paused.
 	pulseInterval = 250 * time.Millisecond
@@ -55,6 +57,9 @@
 	Targets []tarragonwell.ListedTarget
 	// TellLeaving passes on that a target said it leaves; it must not block.
 	TellLeaving func(service, address string, until time.Time)
+	// TellSuspect passes on that a target has fallen silent or fails; it must not
+	// block.
+	TellSuspect func(service, address string, until time.Time)
 	// Confirm asks for a new reading of the list, after which Resume is called;
 	// it must not block.
 	Confirm func()
@@ -83,6 +88,8 @@
 	told map[string]time.Time
 	// turn is when the task last ran.
 	turn time.Time
+	// scanned is when silent targets were last looked for.
+	scanned time.Time
 }
 
 // handle is a running target task.
@@ -130,6 +137,14 @@
 	s.mailbox.Post(resumeMessage{})
 }
 
+// MarkSuspect takes in a peer's word that a target has fallen silent.
+func (s *Service) MarkSuspect(address string, until time.Time) {
+	s.mailbox.Post(suspectMessage{
+		address: address,
+		until:   until,
+	})
+}
+
 // Status reports on the service.
 func (s *Service) Status(ctx context.Context) (Status, error) {
 	return task.Ask(ctx, s.mailbox, func(reply chan<- Status) any {
@@ -215,6 +230,7 @@
 	switch m := message.(type) {
 	case acquireMessage:
 		s.acquired(now, st, m)
+		s.tellSuspects(now, st)
 	case abandonMessage:
 		st.scheduler.Abandon(m.id)
 		delete(st.waiting, m.id)
@@ -232,6 +248,8 @@
 		s.configure(st, m)
 	case leavingMessage:
 		s.leaving(now, st, m.address, m.until, m.from)
+	case suspectMessage:
+		st.scheduler.MarkSuspect(now, m.address, m.until)
 	case resumeMessage:
 		st.scheduler.Resume()
 	case statusMessage:
--- a/pkg/tarragonwell/admission/queue.go
+++ b/pkg/tarragonwell/admission/queue.go
@@ -19,7 +19,8 @@
 	Deadline time.Time
 	// Exclude lists targets that the call has tried.
 	Exclude []string
-	Since   time.Time
+	// Spare marks a call that may only use what others leave, as a hedge.
+	Spare bool
 }
 
 // Queue orders waiting calls: kinds share the service by their weights, so none
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -32,6 +32,8 @@
 	records map[string]*record
 	holders map[tarragonwell.Incarnation]tarragonwell.Holder
 	leaving map[TargetKey]time.Time
+	// suspects are believed for a short time only.
+	suspects map[TargetKey]time.Time
 }
 
 // TargetKey names a target of a service.
@@ -119,9 +121,11 @@
 			delete(v.holders, i)
 		}
 	}
-	for k, until := range v.leaving {
-		if now.After(until) {
-			delete(v.leaving, k)
+	for _, m := range []map[TargetKey]time.Time{v.leaving, v.suspects} {
+		for k, until := range m {
+			if now.After(until) {
+				delete(m, k)
+			}
 		}
 	}
 }
@@ -213,15 +217,34 @@
 }
 
 // MergeLeaving takes in that a target leaves and reports whether this is news.
-func (v *View) MergeLeaving(k TargetKey, until time.Time) bool {
+func (v *View) MergeLeaving(now time.Time, k TargetKey, until time.Time) bool {
 	if v.leaving == nil {
 		v.leaving = map[TargetKey]time.Time{}
 	}
-	old, known := v.leaving[k]
+	return mergeUntil(v.leaving, now, k, until)
+}
+
+// MergeSuspect takes in that a target is suspect and reports whether this is
+// news.
+func (v *View) MergeSuspect(now time.Time, k TargetKey, until time.Time) bool {
+	if v.suspects == nil {
+		v.suspects = map[TargetKey]time.Time{}
+	}
+	return mergeUntil(v.suspects, now, k, until)
+}
+
+// mergeUntil keeps the later end and reports whether nothing was believed before.
+func mergeUntil(m map[TargetKey]time.Time, now time.Time, k TargetKey, until time.Time) bool {
+	old := m[k]
 	if until.After(old) {
-		v.leaving[k] = until
+		m[k] = until
 	}
-	return !known
+	return !now.Before(old) && until.After(now)
+}
+
+// Suspects lists the targets that are suspect and until when.
+func (v *View) Suspects() map[TargetKey]time.Time {
+	return v.suspects
 }
 
 // Leaving lists the targets that leave and until when this is believed.
--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -25,7 +25,7 @@
 	newsLifeLatencies = 2
 	minStall          = 25 * time.Millisecond
 	// stallLatencies is how many mean latencies without an answer make a stall.
-	stallLatencies = 5
+	stallLatencies = 3
 	// suspectSlowdown is where a target's own report is no longer believed.
 	suspectSlowdown = 1.5
 	maxSlowdown     = 20
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -23,7 +23,7 @@
 // share; where nothing is left, the exclusions and ejections do not count.
 func (s *Scheduler) usable(now time.Time, w *admission.Waiter) []*tarragonwell.TargetState {
 	fresh := func(t *tarragonwell.TargetState) bool {
-		return !ejected(now, t) && !slices.Contains(w.Exclude, t.Address)
+		return !ejected(now, t) && !suspect(now, t) && !slices.Contains(w.Exclude, t.Address)
 	}
 	s.filter(func(t *tarragonwell.TargetState) bool { return s.mayTake(now, t, w.Kind) && fresh(t) })
 	if len(s.eligible) == 0 && len(w.Exclude) > 0 {
@@ -69,3 +69,8 @@
 	}
 	return now.Before(t.EjectedUntil) || t.InFlight > 0
 }
+
+// suspect reports whether a peer's word keeps a target out.
+func suspect(now time.Time, t *tarragonwell.TargetState) bool {
+	return now.Before(t.SuspectUntil)
+}
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -56,7 +56,8 @@
 	Exclude []string
 	// Retry marks a further attempt, which the retry budget must allow.
 	Retry bool
-	// NoWait refuses the call where it would have to wait, as for hedges.
+	// NoWait refuses the call where calls wait or no target has room, as for
+	// hedges: under load they would take slots from first attempts.
 	NoWait bool
 }
 
@@ -133,10 +134,10 @@
 		Kind:     r.Kind,
 		Deadline: r.Deadline,
 		Exclude:  r.Exclude,
-		Since:    now,
+		Spare:    r.NoWait,
 	}
 	// Other kinds may wait for targets that this one does not need.
-	if s.queue.LenOf(r.Kind) == 0 || r.NoWait {
+	if s.queue.LenOf(r.Kind) == 0 {
 		if g := s.tryGrant(now, w); g != nil {
 			return Decision{
 				Grant: g,
@@ -248,7 +249,7 @@
 	if len(usable) == 0 || float64(s.inFlight) >= s.Limit() {
 		return nil
 	}
-	i := s.options.Chooser.Choose(now, s.choiceInput(w.Kind), usable)
+	i := s.options.Chooser.Choose(now, s.choiceInput(w), usable)
 	if i < 0 {
 		return nil
 	}
@@ -261,12 +262,12 @@
 	}
 }
 
-func (s *Scheduler) choiceInput(k *tarragonwell.Kind) tarragonwell.ChoiceInput {
+func (s *Scheduler) choiceInput(w *admission.Waiter) tarragonwell.ChoiceInput {
 	return tarragonwell.ChoiceInput{
-		Kind:         k,
+		Kind:         w.Kind,
 		ShortLatency: s.shortLatency,
 		MeanOthers:   s.meanOthers,
 		Ramp:         s.options.Service.Ramp,
-		Entitled:     s.entitled(k),
+		Entitled:     !w.Spare && s.entitled(w.Kind),
 	}
 }
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -61,6 +61,11 @@
 	ConsecutiveFailures int
 	// EjectedUntil is when an ejected target may get a trial call.
 	EjectedUntil time.Time
+	// SuspectUntil is how long a peer's word is believed that the target has
+	// fallen silent or fails.
+	SuspectUntil time.Time
+	// ToldSuspect is when the instance last told its peers so itself.
+	ToldSuspect time.Time
 	// Ejections counts the ejections since the last success.
 	Ejections int
 	// RampFrom is when the target joined or came back.
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -14,7 +14,7 @@
 	Peers  []int         `default:"4,16,64,256" help:"Sizes of the fleet."`
 	Window time.Duration `default:"8s" help:"Time over which a fleet is measured at rest."`
 	Edits  int           `default:"5" help:"Edits of the rules in each fleet."`
-	Only   string        `help:"Measure only peers, rules, targets or operations."`
+	Only   string        `help:"Measure only targets, rules, operations, instances or peers."`
 }
 
 func main() {
@@ -34,6 +34,7 @@
 		{"targets", targets},
 		{"rules", rules},
 		{"operations", operations},
+		{"instances", instances},
 		{"peers", peers},
 	} {
 		if o.Only != "" && o.Only != part.name {
--- a/test/slopes/peers.go
+++ b/test/slopes/peers.go
@@ -1,15 +1,11 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"runtime"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -163,18 +159,9 @@
 func (l *local) bytes() float64 {
 	total := 0.0
 	for _, s := range l.settings {
-		response, err := http.Get("http://" + s.Operators + "/metrics")
-		if err != nil {
-			continue
+		if m, err := scrape(s.Operators); err == nil {
+			total += m["peer-bytes"]
 		}
-		lines := bufio.NewScanner(response.Body)
-		for lines.Scan() {
-			if name, value, _ := strings.Cut(lines.Text(), " "); strings.HasPrefix(name, "tarragonwell_peer_bytes_total") {
-				x, _ := strconv.ParseFloat(value, 64)
-				total += x
-			}
-		}
-		_ = response.Body.Close()
 	}
 	return total
 }
