Ask for more evidence before a target counts as silent; fill slots at the crest

Headroom of one call a target left slots idle at the crest. Ruled out: the limiter (no target shed). Change: one call in flight makes a stall after six mean latencies, several sooner; peers are told of several silent calls or an ejection only; headroom 1.4.

--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -11,7 +11,7 @@
 const (
 	// occupancyHeadroom keeps a target's slots busy while an answer and the
 	// next call are on the network.
-	occupancyHeadroom = 1.2
+	occupancyHeadroom = 1.4
 	// choiceSamples bounds herding: the best of a few, never the best of all.
 	choiceSamples = 4
 	// remotePenalty is the cost of another data centre, in shares of a target's
@@ -24,8 +24,11 @@
 	// newsLifeLatencies is the time over which a report fades, in mean latencies.
 	newsLifeLatencies = 2
 	minStall          = 25 * time.Millisecond
-	// stallLatencies is how many mean latencies without an answer make a stall.
-	stallLatencies = 3
+	// stallLatencies is how many mean latencies without an answer make a stall,
+	// with one call in flight; with several, fewer do, as it is less likely that
+	// all of them are merely slow.
+	stallLatencies    = 6
+	minStallLatencies = 2.5
 	// suspectSlowdown is where a target's own report is no longer believed.
 	suspectSlowdown = 1.5
 	maxSlowdown     = 20
@@ -115,10 +118,12 @@
 // Stalled reports whether a target has short calls in flight and has answered
 // none for several mean latencies.
 func Stalled(now time.Time, t *tarragonwell.TargetState, mean time.Duration) bool {
-	if t.InFlight-t.InFlightLong <= 0 || t.Progress.IsZero() {
+	calls := t.InFlight - t.InFlightLong
+	if calls <= 0 || t.Progress.IsZero() {
 		return false
 	}
-	return now.Sub(t.Progress) > max(minStall, stallLatencies*mean)
+	latencies := max(minStallLatencies, stallLatencies/float64(calls))
+	return now.Sub(t.Progress) > max(minStall, time.Duration(latencies*float64(mean)))
 }
 
 // Occupancy estimates the calls at a target. A report fades towards what the
--- a/pkg/tarragonwell/scheduling/suspects.go
+++ b/pkg/tarragonwell/scheduling/suspects.go
@@ -19,8 +19,10 @@
 func (s *Scheduler) Suspects(now time.Time) []string {
 	var out []string
 	for _, t := range s.targets {
-		silent := policy.Stalled(now, t, s.shortLatency) || now.Before(t.EjectedUntil)
-		if silent && now.Sub(t.ToldSuspect) > suspectLife/2 {
+		// A single call may be slow for reasons of its own.
+		silent := t.InFlight-t.InFlightLong > 1 && policy.Stalled(now, t, s.shortLatency)
+		failing := now.Before(t.EjectedUntil)
+		if (silent || failing) && now.Sub(t.ToldSuspect) > suspectLife/2 {
 			t.ToldSuspect = now
 			out = append(out, t.Address)
 		}
