Talk to a few partners at a time

Cause: make slopes: bytes a second and node grew with the fleet (64 instances 5,096, 256 instances over 8,000): peers drawn at random from all mean a connection to each of them, with its set-up and pings. Change: six partners by rendezvous hash, changing every 30 s; pings every 5 s. The hand-over's time is measured on a table of its own, schedulers by the fifty.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -22,9 +22,10 @@
 
 const (
 	dialTimeout = 250 * time.Millisecond
-	idleTimeout = 30 * time.Second
+	// idleTimeout gives up the connections to former partners soon.
+	idleTimeout = 10 * time.Second
 	// pingInterval finds connections that a cut has left silent.
-	pingInterval = 2 * time.Second
+	pingInterval = 5 * time.Second
 	pingTimeout  = time.Second
 	maxMessage   = 64 << 20
 )
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -19,6 +19,9 @@
 	// remembered is how long a record is kept, so that old news of a peer that
 	// has gone does not bring it back.
 	remembered = 60 * time.Second
+	// partnerCount is the number of peers that an instance talks to in an epoch.
+	partnerCount = 6
+	partnerEpoch = 30 * time.Second
 )
 
 // View is what one instance knows of the fleet. One task owns it. The zero
@@ -141,13 +144,10 @@
 	return append(out, recent[:min(len(recent), max(0, n-1))]...)
 }
 
-// Pick draws up to n peers to talk to. One that has been silent is drawn now
-// and then, for it may be back.
+// Pick draws up to n of the instance's partners. One that has been silent, or
+// was never heard of, is drawn besides, for it may be back.
 func (v *View) Pick(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
-	peers := v.Alive(now)
-	if len(peers) == 0 {
-		peers = v.All()
-	}
+	peers := v.partners(now)
 	r.Shuffle(len(peers), func(i, j int) {
 		peers[i], peers[j] = peers[j], peers[i]
 	})
@@ -164,6 +164,25 @@
 	return peers
 }
 
+// partners are the few peers that the instance talks to for a time, so that its
+// connections stay as few as the fleet grows. Who they are changes with the
+// epoch, and differs between instances, so that news reaches all in few steps.
+func (v *View) partners(now time.Time) []tarragonwell.Member {
+	peers := v.Alive(now)
+	if len(peers) == 0 {
+		peers = v.All()
+	}
+	epoch := byte(now.Unix() / int64(partnerEpoch/time.Second))
+	weight := func(m tarragonwell.Member) uint64 {
+		key := append(v.Self.Incarnation[:], m.Incarnation[:]...)
+		return xxhash.Sum64(append(key, epoch))
+	}
+	slices.SortFunc(peers, func(a, b tarragonwell.Member) int {
+		return cmp.Compare(weight(a), weight(b))
+	})
+	return peers[:min(len(peers), partnerCount)]
+}
+
 // unheard lists the seeds of which there is no record.
 func (v *View) unheard() []string {
 	var out []string
--- a/test/slopes/decisions.go
+++ b/test/slopes/decisions.go
@@ -26,8 +26,13 @@
 		SlotShare: 1,
 	}
 	for _, n := range []int{10, 30, 100, 300} {
-		var s *scheduling.Scheduler
-		size := heap(func() { s = newScheduler(n) })
+		var many []*scheduling.Scheduler
+		size := heap(func() {
+			for range copies {
+				many = append(many, newScheduler(n))
+			}
+		}) / copies
+		s := many[0]
 		now := time.Now()
 		r := testing.Benchmark(func(b *testing.B) {
 			for b.Loop() {
@@ -49,6 +54,9 @@
 	return nil
 }
 
+// copies of a small structure are measured at a time.
+const copies = 50
+
 func newScheduler(n int) *scheduling.Scheduler {
 	s := scheduling.New(scheduling.Options{
 		Service: &tarragonwell.Service{
@@ -112,24 +120,36 @@
 	fmt.Println("OPERATIONS   bytes each (answer of 200 bytes)   ns to run one   ms to hand all over")
 	for _, n := range []int{1_000, 10_000, 100_000} {
 		now := time.Now()
-		t := &operation.Table{
-			MaxEntries: 10_000_000,
-			MaxBytes:   1 << 30,
-		}
-		t.Open(now, tarragonwell.Incarnation{1}, []byte("key"))
+		t := newTable(now)
 		size := heap(func() { fill(t, now, n) })
 		r := testing.Benchmark(func(b *testing.B) {
 			for b.Loop() {
 				one(t, now)
 			}
 		})
-		begin := time.Now()
-		t.Close(now)
-		fmt.Printf("%10d %34d %15d %21.2f\n", n, size/n, r.NsPerOp(), float64(time.Since(begin).Microseconds())/1000)
+		fmt.Printf("%10d %34d %15d %21.2f\n", n, size/n, r.NsPerOp(), handOverTime(now, n))
 	}
 	return nil
 }
 
+// handOverTime is the time to close a table of n operations, in milliseconds.
+func handOverTime(now time.Time, n int) float64 {
+	t := newTable(now)
+	fill(t, now, n)
+	begin := time.Now()
+	t.Close(now)
+	return float64(time.Since(begin).Microseconds()) / 1000
+}
+
+func newTable(now time.Time) *operation.Table {
+	t := &operation.Table{
+		MaxEntries: 10_000_000,
+		MaxBytes:   1 << 30,
+	}
+	t.Open(now, tarragonwell.Incarnation{1}, []byte("key"))
+	return t
+}
+
 func fill(t *operation.Table, now time.Time, n int) {
 	for range n {
 		one(t, now)
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -82,7 +83,8 @@
 		_, _ = io.WriteString(w, strconv.FormatUint(p.Reads(), 10)+"\n")
 	})
 	p.server = &http.Server{
-		Handler: mux,
+		Handler:  mux,
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	go func() { _ = p.server.Serve(l) }()
 	context.AfterFunc(ctx, func() { _ = p.server.Close() })
