Write struct literals with field names, one a line

Change: names added by a program that reads the types; no value changed. Measured: go vet and go test ./pkg/... ./internal/... pass as before.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -149,9 +149,18 @@
 		listener *net.Listener
 		address  string
 	}{
-		{&l.callers, s.Callers},
-		{&l.peers, s.Peers},
-		{&l.operators, s.Operators},
+		{
+			listener: &l.callers,
+			address:  s.Callers,
+		},
+		{
+			listener: &l.peers,
+			address:  s.Peers,
+		},
+		{
+			listener: &l.operators,
+			address:  s.Operators,
+		},
 	} {
 		opened, err := net.Listen("tcp", x.address)
 		if err != nil {
