--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEEDS ?= 10
 OUT = out
 
-.PHONY: build test lint generate check-generated check-linked unit demo demo-up prove bench slopes fuzz
+.PHONY: build test lint generate check-generated check-linked unit demo demo-up prove bench latency slopes fuzz
 
 build:
 	$(GO) build -o bin/tarragonwell .
@@ -46,6 +46,10 @@
 bench:
 	$(GO) run ./test/bench --out $(OUT)/bench
 
+# What an instance adds to a call, and what a call costs.
+latency:
+	$(GO) run ./test/latency
+
 slopes:
 	$(GO) run ./test/slopes
 
