--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -43,6 +43,8 @@
 	platform   tarragonwell.Platform
 	leaving    atomic.Bool
 	ready      atomic.Bool
+	// joined is set once peers were asked, before which no call is taken.
+	joined atomic.Bool
 }
 
 // listeners are open from the start to the end of Run.
@@ -241,6 +243,15 @@
 	}
 }
 
+// routing is what callers' requests are matched against, or nil before the
+// instance has learnt from peers what is in force and which targets leave.
+func (i *Instance) routing() *caller.Routing {
+	if !i.joined.Load() {
+		return nil
+	}
+	return i.documents.Routing()
+}
+
 // revision is the highest that was accepted or refused.
 func (d *documents) revision() uint64 {
 	p := d.published.Load()
@@ -272,7 +283,7 @@
 		callers: caller.NewServer(caller.Options{
 			Common:     i.common,
 			Operations: i.operations,
-			Routing:    i.documents.Routing,
+			Routing:    i.routing,
 			Leaving:    i.leaving.Load,
 		}).HTTP(),
 		peers: &http.Server{
--- a/internal/instance/join.go
+++ b/internal/instance/join.go
@@ -35,6 +35,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	// What peers told of targets reaches the services meanwhile.
+	wait(ctx, joinPoll)
+	i.joined.Store(true)
 	i.peers.SetState(tarragonwell.MemberServing)
 	i.ready.Store(true)
 	i.common.Change(tarragonwell.AuditRecord{
