--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"testing"
@@ -81,21 +80,10 @@
 
 func get(t *testing.T, address, path string) (*http.Response, string) {
 	t.Helper()
-	r, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Header.Set(target.HeaderTestRequest, "r1")
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
+	header := http.Header{
+		target.HeaderTestRequest: []string{"r1"},
 	}
-	return response, string(body)
+	return send(t, http.MethodGet, "http://"+address+path, header, nil)
 }
 
 func TestWholePath(t *testing.T) {
--- a/test/latency/main.go
+++ b/test/latency/main.go
@@ -4,14 +4,11 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -115,7 +112,7 @@
 
 // load measures the instance's processor time and allocations of a call.
 func load(o options, i *fleet.Instance, url string) error {
-	before, err := readMetrics(i)
+	before, err := fleet.ReadMetrics(i.Operators())
 	if err != nil {
 		return err
 	}
@@ -133,7 +130,7 @@
 	}
 	callers.Wait()
 	took := time.Since(begin)
-	after, err := readMetrics(i)
+	after, err := fleet.ReadMetrics(i.Operators())
 	if err != nil {
 		return err
 	}
@@ -147,20 +144,3 @@
 	fmt.Printf("resident memory: %.1f MB\n", after["process_resident_memory_bytes"]/(1<<20))
 	return nil
 }
-
-func readMetrics(i *fleet.Instance) (map[string]float64, error) {
-	response, err := http.Get("http://" + i.Operators() + "/metrics")
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	out := map[string]float64{}
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		name, value, _ := strings.Cut(lines.Text(), " ")
-		if x, err := strconv.ParseFloat(value, 64); err == nil {
-			out[name] = x
-		}
-	}
-	return out, lines.Err()
-}
--- a/test/slopes/instance.go
+++ b/test/slopes/instance.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -88,12 +85,12 @@
 	}
 	defer f.Close()
 	time.Sleep(probesBegin)
-	before, err := scrape(f.Instances[0].Operators())
+	before, err := fleet.ReadMetrics(f.Instances[0].Operators())
 	if err != nil {
 		return err
 	}
 	time.Sleep(restTime)
-	after, err := scrape(f.Instances[0].Operators())
+	after, err := fleet.ReadMetrics(f.Instances[0].Operators())
 	if err != nil {
 		return err
 	}
@@ -101,7 +98,7 @@
 	fmt.Printf("%8d %9d %21.2f %13.1f %10.1f %12.0f\n", g.services, g.targets,
 		(after["process_cpu_seconds_total"]-before["process_cpu_seconds_total"])/seconds*100,
 		after["process_resident_memory_bytes"]/(1<<20),
-		(after["probes"]-before["probes"])/seconds,
+		(after["tarragonwell_probes_total"]-before["tarragonwell_probes_total"])/seconds,
 		after["go_goroutines"])
 	return nil
 }
@@ -116,31 +113,3 @@
 	}
 	return b.String()
 }
-
-// scrape reads an instance's metrics; those of all services are summed up under
-// their short names.
-func scrape(operators string) (map[string]float64, error) {
-	response, err := http.Get("http://" + operators + "/metrics")
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	out := map[string]float64{}
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		name, value, _ := strings.Cut(lines.Text(), " ")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			continue
-		}
-		switch {
-		case strings.HasPrefix(name, "tarragonwell_probes_total"):
-			out["probes"] += x
-		case strings.HasPrefix(name, "tarragonwell_peer_bytes_total"):
-			out["peer-bytes"] += x
-		default:
-			out[name] = x
-		}
-	}
-	return out, lines.Err()
-}
--- a/test/slopes/peers.go
+++ b/test/slopes/peers.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonwell/tarragonwell/internal/instance"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
+	"github.com/tarragonwell/tarragonwell/test/fleet"
 	"github.com/tarragonwell/tarragonwell/test/history"
 	"github.com/tarragonwell/tarragonwell/test/standin/platform"
 )
@@ -159,8 +160,8 @@
 func (l *local) bytes() float64 {
 	total := 0.0
 	for _, s := range l.settings {
-		if m, err := scrape(s.Operators); err == nil {
-			total += m["peer-bytes"]
+		if m, err := fleet.ReadMetrics(s.Operators); err == nil {
+			total += m["tarragonwell_peer_bytes_total"]
 		}
 	}
 	return total
