--- a/Makefile
+++ b/Makefile
@@ -19,12 +19,15 @@
 
 generate:
 	$(TOOL) buf generate
+	$(TOOL) buf generate platform/schema --template platform/buf.gen.yaml
 
 # The generated code that is committed is what the schema generates.
 check-generated:
 	@rm -rf $(OUT)/generated
 	$(TOOL) buf generate -o $(OUT)/generated
+	$(TOOL) buf generate platform/schema --template platform/buf.gen.yaml -o $(OUT)/generated
 	diff -r $(OUT)/generated/pkg/api pkg/api
+	diff -r $(OUT)/generated/platform/store platform/store
 
 # The program is linked to the C library as usual.
 check-linked: build
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,27 +17,26 @@
 // internalHeaders are spoken between instances and targets only.
 var internalHeaders = []string{target.HeaderLoad, target.HeaderState, target.HeaderRequestID}
 
-// refusalBody is the body of answers that do not come from a target.
-type refusalBody struct {
-	Outcome string `json:"outcome"`
-	Reason  string `json:"reason"`
-}
-
 // tell writes the end of a call.
 func (s *Server) tell(w http.ResponseWriter, call *tarragonwell.Call, r tarragonwell.Result) {
 	if r.Outcome == tarragonwell.OutcomeUnknown {
 		s.options.Common.Log.Warn("outcome unknown", "call", call.ID, "kind", call.Route.Kind.Name, "reason", r.Reason)
 	}
 	if r.Answer == nil {
-		writeOutcome(w, r.Outcome, statusOf(r.Outcome), r.Reason, r.RetryAfter)
+		s.write(w, &tarragonwell.Refusal{
+			Outcome:    r.Outcome,
+			Cause:      r.Cause,
+			Reason:     r.Reason,
+			RetryAfter: r.RetryAfter,
+		})
 		return
 	}
 	defer r.Answer.Body.Close()
 	copyHeaders(w.Header(), r.Answer.Header)
+	s.dialect.WriteAnswer(&r, w.Header())
 	if r.Answer.Length >= 0 && call.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.FormatInt(r.Answer.Length, 10))
 	}
-	setOutcome(w, r.Outcome, r.Reason)
 	w.WriteHeader(r.Answer.Status)
 	if err := stream(w, r.Answer.Body, call.Route.Kind.Long); err != nil && control.Holds(control.VisibleCut) {
 		// The caller must not take what it has for the whole answer.
@@ -73,70 +71,72 @@
 }
 
 // writeStored writes the result of an operation.
-func writeStored(w http.ResponseWriter, r tarragonwell.StoredResult) {
+func (s *Server) writeStored(w http.ResponseWriter, r tarragonwell.StoredResult) {
 	if r.Status == 0 || r.Outcome == tarragonwell.OutcomeNotRun {
-		writeOutcome(w, r.Outcome, statusOf(r.Outcome), r.Reason, 0)
+		s.write(w, &tarragonwell.Refusal{
+			Outcome: r.Outcome,
+			Cause:   storedCause(r.Outcome),
+			Reason:  r.Reason,
+		})
 		return
 	}
 	copyHeaders(w.Header(), r.Header)
+	s.dialect.WriteAnswer(&tarragonwell.Result{
+		Outcome: r.Outcome,
+		Reason:  r.Reason,
+	}, w.Header())
 	w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
-	setOutcome(w, r.Outcome, r.Reason)
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(r.Body)
 }
 
+func storedCause(o tarragonwell.Outcome) tarragonwell.RefusalCause {
+	if o == tarragonwell.OutcomeUnknown {
+		return tarragonwell.CauseTarget
+	}
+	return tarragonwell.CauseBusy
+}
+
 func copyHeaders(to http.Header, from map[string][]string) {
 	for name, values := range from {
 		to[name] = values
 	}
-	for _, name := range internalHeaders {
-		to.Del(name)
-	}
 }
 
-func setOutcome(w http.ResponseWriter, o tarragonwell.Outcome, reason string) {
-	w.Header().Set(HeaderOutcome, o.String())
-	if reason != "" {
-		w.Header().Set(HeaderReason, reason)
-	}
+// writeRefusal tells a caller that its request was not run.
+func (s *Server) writeRefusal(w http.ResponseWriter, cause tarragonwell.RefusalCause, reason string, after time.Duration) {
+	s.write(w, &tarragonwell.Refusal{
+		Outcome:    tarragonwell.OutcomeNotRun,
+		Cause:      cause,
+		Reason:     reason,
+		RetryAfter: after,
+	})
 }
 
-// writeRefusal tells a caller that its request was not run.
-func writeRefusal(w http.ResponseWriter, status int, reason string, after time.Duration) {
-	writeOutcome(w, tarragonwell.OutcomeNotRun, status, reason, after)
+// write tells a caller an end without a target's answer.
+func (s *Server) write(w http.ResponseWriter, r *tarragonwell.Refusal) {
+	writeEncoded(w, s.dialect.WriteRefusal(r))
 }
 
-func writeOutcome(w http.ResponseWriter, o tarragonwell.Outcome, status int, reason string, after time.Duration) {
-	setOutcome(w, o, reason)
-	if after > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
-	}
-	writeJSON(w, status, refusalBody{
-		Outcome: o.String(),
-		Reason:  reason,
-	})
+func writeEncoded(w http.ResponseWriter, a tarragonwell.EncodedAnswer) {
+	copyHeaders(w.Header(), a.Header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
 }
 
+// writeJSON writes an answer of the callers' own interface.
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	content, err := json.Marshal(body)
 	if err != nil {
 		status = http.StatusInternalServerError
 		content = []byte("{}")
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
-	w.WriteHeader(status)
-	_, _ = w.Write(content)
-}
-
-// statusOf is the HTTP status of an outcome without a target's answer.
-func statusOf(o tarragonwell.Outcome) int {
-	switch o {
-	case tarragonwell.OutcomeNotRun:
-		return http.StatusServiceUnavailable
-	case tarragonwell.OutcomeUnknown:
-		return http.StatusGatewayTimeout
-	default:
-		return http.StatusOK
-	}
+	writeEncoded(w, tarragonwell.EncodedAnswer{
+		Status: status,
+		Header: map[string][]string{
+			"Content-Type": {"application/json"},
+		},
+		Body: content,
+	})
 }
--- a/internal/caller/routing.go
+++ b/internal/caller/routing.go
@@ -50,6 +50,6 @@
 }
 
 // Match returns the route of a request, or nil.
-func (r *Routing) Match(method, path string) *tarragonwell.Route {
-	return r.matcher.Match(method, path)
+func (r *Routing) Match(host, method, path string) *tarragonwell.Route {
+	return r.matcher.MatchHost(host, method, path)
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"path"
@@ -15,18 +16,15 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/operations"
-	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/rules"
 )
 
 const (
-	// defaultRetries is the retry budget of a call that brings none.
-	defaultRetries = 1
-	// maxRetries bounds the budget that a caller may bring.
-	maxRetries     = 3
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 	// operationGrace is how much longer than its deadline an operation's result
@@ -36,7 +34,10 @@
 
 // Options configures a Server.
 type Options struct {
-	Common     *common.Common
+	Common *common.Common
+	// Dialect is how callers are spoken to; nil for the system's own.
+	Dialect tarragonwell.CallerDialect
+	// Operations is nil where callers know no tickets.
 	Operations *operations.Operations
 	// Routing returns what is in force, or nil before the first rules.
 	Routing func() *Routing
@@ -47,6 +48,7 @@
 // Server answers callers.
 type Server struct {
 	options Options
+	dialect tarragonwell.CallerDialect
 	nextID  atomic.Uint64
 	prefix  string
 	// held counts the bytes of request bodies in hand.
@@ -55,8 +57,12 @@
 
 // NewServer returns a server.
 func NewServer(o Options) *Server {
+	if o.Dialect == nil {
+		o.Dialect = Dialect{}
+	}
 	return &Server{
 		options: o,
+		dialect: o.Dialect,
 		prefix:  hex.EncodeToString(o.Common.Incarnation[:6]),
 	}
 }
@@ -79,8 +85,10 @@
 // Handler returns the routes for callers.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	r.HandleFunc(PathTickets, s.mint).Methods(http.MethodPost)
-	r.HandleFunc(PathOperations+"{ticket}", s.operation).Methods(http.MethodGet, http.MethodDelete)
+	if s.options.Operations != nil {
+		r.HandleFunc(PathTickets, s.mint).Methods(http.MethodPost)
+		r.HandleFunc(PathOperations+"{ticket}", s.operation).Methods(http.MethodGet, http.MethodDelete)
+	}
 	r.PathPrefix("/").HandlerFunc(s.pass)
 	return r
 }
@@ -95,24 +103,25 @@
 		s.notNow(w, r, "no rules are in force yet")
 		return
 	}
-	release, ok := s.reserve(r)
+	limit := s.bodyLimit(routing, r)
+	release, ok := s.reserve(r, limit)
 	if !ok {
 		s.notNow(w, r, "too many requests are in hand")
 		return
 	}
 	defer release()
 	if !cleanPath(r.URL.Path) {
-		s.refuse(w, r, http.StatusBadRequest, "the path has dot segments")
+		s.refuse(w, r, tarragonwell.CauseMalformed, "the path has dot segments")
 		return
 	}
-	route := routing.Match(r.Method, r.URL.Path)
+	route := routing.Match(r.Host, r.Method, r.URL.Path)
 	if route == nil {
-		s.refuse(w, r, http.StatusNotFound, "no rule routes this request")
+		s.refuse(w, r, tarragonwell.CauseNoRoute, "no rule routes this request")
 		return
 	}
-	call, status, reason := s.call(r, route)
-	if call == nil {
-		s.refuse(w, r, status, reason)
+	call, cause, err := s.call(r, route, limit)
+	if err != nil {
+		s.refuse(w, r, cause, err.Error())
 		return
 	}
 	begin := s.options.Common.Clock.Now()
@@ -128,8 +137,8 @@
 
 // reserve makes room for a request's body, so that the memory for bodies stays
 // bounded whatever callers send.
-func (s *Server) reserve(r *http.Request) (release func(), ok bool) {
-	size := s.options.Common.Settings.RequestBodyBytes
+func (s *Server) reserve(r *http.Request, limit int64) (release func(), ok bool) {
+	size := limit
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength)
 	}
@@ -141,27 +150,62 @@
 	return release, true
 }
 
+// bodyLimit is the rules' limit on a request's body, or else the settings'. Room
+// is reserved ahead, so a body without a length gets the lower of the two.
+func (s *Server) bodyLimit(routing *Routing, r *http.Request) int64 {
+	usual := s.options.Common.Settings.RequestBodyBytes
+	limit := routing.Rules.Limits.RequestBodyBytes
+	switch {
+	case limit <= 0:
+		return usual
+	case r.ContentLength < 0:
+		return min(limit, usual)
+	default:
+		return limit
+	}
+}
+
 // notNow refuses a request for now. One with a ticket may have been run by an
 // earlier attempt, and may be run by a later one.
 func (s *Server) notNow(w http.ResponseWriter, r *http.Request, reason string) {
-	outcome := tarragonwell.OutcomeNotRun
-	if r.Header.Get(HeaderTicket) != "" {
-		outcome = tarragonwell.OutcomeUnknown
+	refusal := &tarragonwell.Refusal{
+		Outcome:    tarragonwell.OutcomeNotRun,
+		Reason:     reason,
+		RetryAfter: notReadyRetryAfter,
+	}
+	if s.ticketOf(r) == "" {
+		s.write(w, refusal)
+		return
 	}
-	writeOutcome(w, outcome, http.StatusServiceUnavailable, reason, time.Second)
+	refusal.Outcome = tarragonwell.OutcomeUnknown
+	encoded := s.dialect.WriteRefusal(refusal)
+	encoded.Status = http.StatusServiceUnavailable
+	writeEncoded(w, encoded)
+}
+
+// notReadyRetryAfter is when an instance that can't take a request may be able
+// to.
+const notReadyRetryAfter = time.Second
+
+// ticketOf returns the ticket that a request brings, or "".
+func (s *Server) ticketOf(r *http.Request) string {
+	if s.options.Operations == nil {
+		return ""
+	}
+	return r.Header.Get(HeaderTicket)
 }
 
 // refuse ends a request that can't be passed on. One with a ticket is settled
 // by its home: not-run is told only once the ticket can never be run.
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, reason string) {
-	text := r.Header.Get(HeaderTicket)
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, cause tarragonwell.RefusalCause, reason string) {
+	text := s.ticketOf(r)
 	if text == "" {
-		writeRefusal(w, status, reason, 0)
+		s.writeRefusal(w, cause, reason, 0)
 		return
 	}
 	ticket, err := operations.ParseTicket(text)
 	if err != nil {
-		writeRefusal(w, http.StatusBadRequest, err.Error(), 0)
+		s.writeRefusal(w, tarragonwell.CauseMalformed, err.Error(), 0)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
@@ -173,68 +217,60 @@
 		Deadline: deadline,
 	})
 	if result.Outcome == tarragonwell.OutcomeNotRun {
-		writeRefusal(w, status, reason, 0)
+		s.writeRefusal(w, cause, reason, 0)
 		return
 	}
-	writeStored(w, result)
+	s.writeStored(w, result)
 }
 
 func cleanPath(p string) bool {
 	return p == "/" || path.Clean(p) == strings.TrimSuffix(p, "/")
 }
 
-// call reads a request whole.
-func (s *Server) call(r *http.Request, route *tarragonwell.Route) (call *tarragonwell.Call, status int, reason string) {
-	limit := s.options.Common.Settings.RequestBodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, http.StatusRequestEntityTooLarge, "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"
-	}
-	if err != nil {
-		return nil, http.StatusBadRequest, "the body broke off"
-	}
+// call reads a request whole. The cause is set with an error.
+func (s *Server) call(r *http.Request, route *tarragonwell.Route, limit int64) (*tarragonwell.Call, tarragonwell.RefusalCause, error) {
+	now := s.options.Common.Clock.Now()
 	// The request is the call's own from here on.
 	header := r.Header
 	header.Set("Host", r.Host)
-	if client, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		header.Add("X-Forwarded-For", client)
+	call := &tarragonwell.Call{
+		ID:       s.prefix + "-" + strconv.FormatUint(s.nextID.Add(1), 36),
+		Method:   r.Method,
+		Path:     r.URL.RequestURI(),
+		Header:   header,
+		Route:    route,
+		Service:  rules.Part(route, rand.Float64()),
+		Deadline: now.Add(bound(route)),
 	}
-	return &tarragonwell.Call{
-		ID:          s.prefix + "-" + strconv.FormatUint(s.nextID.Add(1), 36),
-		Method:      r.Method,
-		Path:        r.URL.RequestURI(),
-		Header:      header,
-		Body:        body,
-		Route:       route,
-		Deadline:    s.deadline(r, route.Kind),
-		RetriesLeft: retriesLeft(r),
-	}, 0, ""
-}
-
-// deadline is the kind's, or the caller's where that is earlier.
-func (s *Server) deadline(r *http.Request, k *tarragonwell.Kind) time.Time {
-	d := s.options.Common.Clock.Now().Add(k.Deadline)
-	ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadline), 10, 64)
+	client, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		return d
+		client = ""
+	}
+	if err := s.dialect.ReadCall(now, client, call); err != nil {
+		return nil, tarragonwell.CauseMalformed, err
 	}
-	// Keep the monotonic reading: the wall clock may jump.
-	left := time.UnixMilli(ms).Sub(s.options.Common.Clock.Now().Round(0))
-	return s.options.Common.Clock.Now().Add(min(k.Deadline, left))
+	call.Body, err = io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, tarragonwell.CauseTooLarge, eris.Errorf("the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, tarragonwell.CauseMalformed, eris.New("the body broke off")
+	}
+	return call, 0, nil
 }
 
-func retriesLeft(r *http.Request) int {
-	n, err := strconv.Atoi(r.Header.Get(target.HeaderRetriesLeft))
-	if err != nil {
-		return defaultRetries
+// bound is the longest time that a call on a route may take.
+func bound(r *tarragonwell.Route) time.Duration {
+	if r.Timeout > 0 {
+		return min(r.Timeout, r.Kind.Deadline)
 	}
-	return max(0, min(maxRetries, n))
+	return r.Kind.Deadline
 }
 
 // serve brings the call to its end and tells the caller.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, routing *Routing, call *tarragonwell.Call) tarragonwell.Outcome {
-	if !call.Route.Kind.Repeatable {
+	if !call.Route.Kind.Repeatable && s.options.Operations != nil {
 		if text := r.Header.Get(HeaderTicket); text != "" {
 			r.Header.Del(HeaderTicket)
 			return s.withTicket(w, r, routing, call, text)
@@ -243,7 +279,7 @@
 			return s.askForTicket(w, r, routing)
 		}
 	}
-	result := routing.Dispatchers[call.Route.Service.Name].Dispatch(r.Context(), call)
+	result := routing.Dispatchers[call.Service.Name].Dispatch(r.Context(), call)
 	s.tell(w, call, result)
 	return result.Outcome
 }
@@ -252,7 +288,7 @@
 func (s *Server) withTicket(w http.ResponseWriter, r *http.Request, routing *Routing, call *tarragonwell.Call, text string) tarragonwell.Outcome {
 	ticket, err := operations.ParseTicket(text)
 	if err != nil {
-		writeRefusal(w, http.StatusBadRequest, err.Error(), 0)
+		s.writeRefusal(w, tarragonwell.CauseMalformed, err.Error(), 0)
 		return tarragonwell.OutcomeNotRun
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline.Add(operationGrace))
@@ -271,7 +307,7 @@
 		// The ticket is spent; here is the next.
 		s.addTicket(w, r, routing)
 	}
-	writeStored(w, result)
+	s.writeStored(w, result)
 	return result.Outcome
 }
 
@@ -279,10 +315,15 @@
 // repeat it, with the ticket to do so.
 func (s *Server) askForTicket(w http.ResponseWriter, r *http.Request, routing *Routing) tarragonwell.Outcome {
 	if !s.addTicket(w, r, routing) {
-		writeRefusal(w, http.StatusServiceUnavailable, "too many operations are outstanding", time.Second)
+		s.writeRefusal(w, tarragonwell.CauseBusy, "too many operations are outstanding", time.Second)
 		return tarragonwell.OutcomeNotRun
 	}
-	writeRefusal(w, http.StatusPreconditionRequired, "repeat the request with the ticket", 0)
+	encoded := s.dialect.WriteRefusal(&tarragonwell.Refusal{
+		Outcome: tarragonwell.OutcomeNotRun,
+		Reason:  "repeat the request with the ticket",
+	})
+	encoded.Status = http.StatusPreconditionRequired
+	writeEncoded(w, encoded)
 	return tarragonwell.OutcomeNotRun
 }
 
--- a/internal/caller/tickets.go
+++ b/internal/caller/tickets.go
@@ -37,14 +37,14 @@
 func (s *Server) mint(w http.ResponseWriter, r *http.Request) {
 	routing := s.options.Routing()
 	if routing == nil {
-		writeRefusal(w, http.StatusServiceUnavailable, "no rules are in force yet", time.Second)
+		s.writeRefusal(w, tarragonwell.CauseBusy, "no rules are in force yet", time.Second)
 		return
 	}
 	count := 1
 	if text := r.URL.Query().Get("count"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 1 || n > operation.MaxBatch {
-			writeRefusal(w, http.StatusBadRequest, "count: want 1 to "+strconv.Itoa(operation.MaxBatch), 0)
+			s.writeRefusal(w, tarragonwell.CauseMalformed, "count: want 1 to "+strconv.Itoa(operation.MaxBatch), 0)
 			return
 		}
 		count = n
@@ -52,7 +52,7 @@
 	life := routing.Rules.Fleet.TicketLife
 	tickets, err := s.options.Operations.Mint(r.Context(), count, life)
 	if err != nil {
-		writeRefusal(w, http.StatusServiceUnavailable, err.Error(), time.Second)
+		s.writeRefusal(w, tarragonwell.CauseBusy, err.Error(), time.Second)
 		return
 	}
 	body := ticketsBody{
@@ -68,7 +68,7 @@
 func (s *Server) operation(w http.ResponseWriter, r *http.Request) {
 	ticket, err := operations.ParseTicket(mux.Vars(r)["ticket"])
 	if err != nil {
-		writeRefusal(w, http.StatusBadRequest, err.Error(), 0)
+		s.writeRefusal(w, tarragonwell.CauseMalformed, err.Error(), 0)
 		return
 	}
 	verb := tarragonwell.OperationAsk
@@ -83,7 +83,7 @@
 		Verb:     verb,
 		Deadline: deadline,
 	})
-	setOutcome(w, result.Outcome, result.Reason)
+	setOutcome(w.Header(), result.Outcome, result.Reason)
 	writeJSON(w, http.StatusOK, operationBody{
 		State:   operationState(result),
 		Outcome: result.Outcome.String(),
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -10,25 +10,24 @@
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/control"
 	"github.com/tarragonwell/tarragonwell/internal/peer"
-	"github.com/tarragonwell/tarragonwell/internal/platform"
 	"github.com/tarragonwell/tarragonwell/internal/service"
 	"github.com/tarragonwell/tarragonwell/internal/task"
-	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/listing"
 )
 
 const (
 	documentsMailbox = 256
-	fetchTimeout     = 2 * time.Second
+	// fetchTimeout is short: a peer that has fallen silent must not hold back news
+	// that others have.
+	fetchTimeout = 600 * time.Millisecond
 	// countInterval is how often the instances are counted anew.
-	countInterval  = time.Second
+	countInterval  = 500 * time.Millisecond
 	confirmTimeout = 900 * time.Millisecond
 	// confirmPeers is how many peers are asked after a pause.
 	confirmPeers = 3
 	fromPlatform = "platform"
-	// rulesName stands for the rules file in errors.
-	rulesName = "rules"
 )
 
 // documents is the task that owns the rules and the list in force, and the
@@ -37,6 +36,7 @@
 	common   *common.Common
 	peers    *peer.Peers
 	platform tarragonwell.Platform
+	targets  tarragonwell.TargetDialect
 	mailbox  *task.Mailbox[any]
 	// published is replaced whole; readers never wait.
 	published atomic.Pointer[published]
@@ -46,8 +46,10 @@
 type published struct {
 	routing  *caller.Routing
 	services map[string]*service.Service
-	list     *pb.InstanceList
-	refusal  refusal
+	// listRevision is 0 before the first list.
+	listRevision uint64
+	instances    []tarragonwell.ListedInstance
+	refusal      refusal
 }
 
 // refusal is the latest rules file that was refused.
@@ -59,7 +61,7 @@
 // documentsState is owned by the task.
 type documentsState struct {
 	rules    *tarragonwell.RuleSet
-	list     *tarragonwell.InstanceList
+	list     listing.Listing
 	refusal  refusal
 	running  map[string]*runningService
 	conflict tarragonwell.RulesVersion
@@ -68,6 +70,8 @@
 	fetchingList  bool
 	// counts are what the services were last configured with.
 	counts fleetCounts
+	// told is what the peers' task was last told.
+	told tarragonwell.Position
 	// confirming is set while the list is read anew after a pause.
 	confirming bool
 }
@@ -80,13 +84,19 @@
 	fetched bool
 }
 
-// listOffer is a list that was read from the platform or a peer.
+// listOffer is a change of the list that was read from the platform or a peer.
 type listOffer struct {
-	list    *tarragonwell.InstanceList
+	change  *tarragonwell.ListChange
 	from    string
 	fetched bool
 }
 
+// sinceMessage asks what has changed on the list after a revision.
+type sinceMessage struct {
+	revision uint64
+	reply    chan<- *tarragonwell.ListChange
+}
+
 // leavingHint is a peer's word that a target leaves.
 type leavingHint struct {
 	service string
@@ -112,9 +122,15 @@
 	return nil
 }
 
-// List returns the platform's list as last read, or nil.
-func (d *documents) List() *pb.InstanceList {
-	return d.published.Load().list
+// ListSince returns what has changed on the platform's list after a revision, or
+// nil before the first list.
+func (d *documents) ListSince(ctx context.Context, revision uint64) (*tarragonwell.ListChange, error) {
+	return task.Ask(ctx, d.mailbox, func(reply chan<- *tarragonwell.ListChange) any {
+		return sinceMessage{
+			revision: revision,
+			reply:    reply,
+		}
+	})
 }
 
 // Routing returns what callers' requests are matched against, or nil.
@@ -128,7 +144,6 @@
 	var services sync.WaitGroup
 	defer services.Wait()
 	st := &documentsState{
-		list:    &tarragonwell.InstanceList{},
 		running: map[string]*runningService{},
 	}
 	ticker := time.NewTicker(countInterval)
@@ -139,7 +154,10 @@
 			return
 		case m := <-d.mailbox.Receive():
 			d.handle(ctx, st, &services, m)
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if st.list.Expire(now) {
+				d.apply(ctx, st, &services)
+			}
 			d.recount(st)
 		}
 	}
@@ -158,10 +176,11 @@
 		if m.fetched {
 			st.fetchingList = false
 		}
-		if m.list != nil && m.list.Revision > st.list.Revision {
-			st.list = m.list
+		if m.change != nil && d.takeList(st, m) {
 			d.apply(ctx, st, services)
 		}
+	case sinceMessage:
+		m.reply <- st.list.Since(m.revision)
 	case rulesHint:
 		d.fetchRules(ctx, st, m)
 	case listHint:
@@ -192,7 +211,7 @@
 	if !v.After(current) && (m.from != fromPlatform || control.Holds(control.NewestRules)) {
 		return false
 	}
-	set, err := rulesfile.Parse(rulesName, m.rules.Revision, m.rules.Content)
+	set, err := d.platform.ParseRules(m.rules)
 	if err != nil {
 		d.refuse(st, v, m.from, err)
 		return false
@@ -202,6 +221,15 @@
 	return true
 }
 
+// takeList reports whether the list is another one now.
+func (d *documents) takeList(st *documentsState, m listOffer) bool {
+	changed, ok := st.list.Apply(d.common.Clock.Now(), m.change)
+	if !ok {
+		d.common.Log.Warn("list change doesn't follow", "since", m.change.Since, "have", st.list.Revision(), "from", m.from)
+	}
+	return changed
+}
+
 func (st *documentsState) version() tarragonwell.RulesVersion {
 	if st.rules == nil {
 		return tarragonwell.RulesVersion{}
@@ -209,10 +237,18 @@
 	return st.rules.Version
 }
 
+// publishVersions tells the peers what is in force. New rules are pushed; the
+// list goes with the word of the platform's answers.
 func (d *documents) publishVersions(st *documentsState) {
-	d.peers.SetVersions(st.version(), st.list.Revision, true)
+	seen := tarragonwell.Position{
+		Rules: max(st.version().Revision, st.refusal.version.Revision),
+		List:  st.list.Revision(),
+	}
+	push := seen.Rules != st.told.Rules
+	st.told = seen
+	d.peers.SetVersions(st.version(), seen, push)
 	var addresses []string
-	for _, i := range st.list.Instances {
+	for _, i := range st.list.Instances() {
 		addresses = append(addresses, i.PeerAddress)
 	}
 	d.peers.SetListed(addresses)
@@ -220,19 +256,26 @@
 
 func (d *documents) publish(st *documentsState) {
 	p := &published{
-		services: map[string]*service.Service{},
-		refusal:  st.refusal,
-	}
-	if st.list.Revision > 0 {
-		p.list = platform.ListMessage(st.list)
+		services:     map[string]*service.Service{},
+		refusal:      st.refusal,
+		listRevision: st.list.Revision(),
+		instances:    st.list.Instances(),
 	}
 	if st.rules != nil {
-		dispatchers := map[string]tarragonwell.Dispatcher{}
-		for name, r := range st.running {
-			p.services[name] = r.service
-			dispatchers[name] = r.service
-		}
-		p.routing = caller.NewRouting(st.rules, dispatchers, d.common.Metrics)
+		p.routing = d.routing(st, p.services)
 	}
 	d.published.Store(p)
 }
+
+// routing returns the routing in force, a new one only where it has changed.
+func (d *documents) routing(st *documentsState, services map[string]*service.Service) *caller.Routing {
+	dispatchers := map[string]tarragonwell.Dispatcher{}
+	for name, r := range st.running {
+		services[name] = r.service
+		dispatchers[name] = r.service
+	}
+	if old := d.Routing(); old != nil && old.Rules == st.rules {
+		return old
+	}
+	return caller.NewRouting(st.rules, dispatchers, d.common.Metrics)
+}
--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/tarragonwell/tarragonwell/internal/platform"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
@@ -46,44 +45,65 @@
 }
 
 func (d *documents) fetchList(ctx context.Context, st *documentsState, m listHint) {
-	if st.fetchingList || m.revision <= st.list.Revision {
+	since := st.list.Revision()
+	if st.fetchingList || m.revision <= since {
 		return
 	}
 	st.fetchingList = true
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		offer := listOffer{
+		change, err := d.peers.FetchList(ctx, m.from, since)
+		if err != nil {
+			d.common.Log.Debug("fetching the list failed", "peer", m.from, "error", err)
+		}
+		d.mailbox.Post(listOffer{
+			change:  change,
 			from:    m.from,
 			fetched: true,
-		}
-		list, err := d.peers.FetchList(ctx, m.from)
-		if err == nil {
-			offer.list = platform.ListOf(list)
-		}
-		d.mailbox.Post(offer)
+		})
 	}()
 }
 
-// confirm reads the list anew, from the platform or else through a peer, after
-// the process was paused.
+// confirm reads the platform anew, and asks peers, after the process was paused.
 func (d *documents) confirm(ctx context.Context, st *documentsState) {
 	if st.confirming {
 		return
 	}
 	st.confirming = true
+	after := tarragonwell.Position{
+		Rules: st.version().Revision,
+		List:  st.list.Revision(),
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
-		list, err := d.platform.WatchInstances(ctx, 0, 0)
-		if err == nil && list != nil {
-			d.mailbox.Post(listOffer{
-				list: list,
-				from: fromPlatform,
-			})
+		for _, f := range d.platform.Feeds() {
+			p, err := f.Watch(ctx, after, 0)
+			if err != nil {
+				d.common.Log.Warn("confirming the platform's word failed", "feed", f.Name(), "error", err)
+				continue
+			}
+			d.offer(p)
 		}
 		// Peers tell of later lists and of targets that leave.
 		d.peers.Greet(ctx, d.peers.SomeAlive(confirmPeers))
 		d.mailbox.Post(confirmed{})
 	}()
 }
+
+// offer hands on what was read from the platform.
+func (d *documents) offer(p tarragonwell.Publication) {
+	if p.Rules != nil {
+		d.mailbox.Post(rulesOffer{
+			rules: p.Rules,
+			from:  fromPlatform,
+		})
+	}
+	if p.List != nil {
+		d.mailbox.Post(listOffer{
+			change: p.List,
+			from:   fromPlatform,
+		})
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -22,6 +22,7 @@
 	"github.com/tarragonwell/tarragonwell/internal/operator"
 	"github.com/tarragonwell/tarragonwell/internal/peer"
 	"github.com/tarragonwell/tarragonwell/internal/platform"
+	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
@@ -33,14 +34,37 @@
 // covers the longest life of a ticket.
 const holderLife = time.Hour
 
+// Surroundings are what an instance runs among, each spoken to in its own way.
+type Surroundings struct {
+	Platform tarragonwell.Platform
+	Callers  tarragonwell.CallerDialect
+	Targets  tarragonwell.TargetDialect
+	// Tickets says that callers know tickets for what must not repeat.
+	Tickets bool
+}
+
+// Own are the surroundings that speak the system's own interfaces.
+func Own(s *settingsfile.Settings) Surroundings {
+	return Surroundings{
+		Platform: &platform.Client{
+			Address: s.Platform,
+			HTTP:    &http.Client{},
+		},
+		Callers: caller.Dialect{},
+		Targets: target.Dialect{},
+		Tickets: true,
+	}
+}
+
 // Instance is one running instance. Make it with New and run it.
 type Instance struct {
-	common     *common.Common
-	trail      *audit.Trail
-	peers      *peer.Peers
-	documents  *documents
+	common       *common.Common
+	surroundings Surroundings
+	trail        *audit.Trail
+	peers        *peer.Peers
+	documents    *documents
+	// operations is nil where callers know no tickets.
 	operations *operations.Operations
-	platform   tarragonwell.Platform
 	leaving    atomic.Bool
 	ready      atomic.Bool
 	// joined is set once peers were asked, before which no call is taken.
@@ -52,10 +76,12 @@
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
+	// readiness is nil where operators' address answers for it.
+	readiness net.Listener
 }
 
 // New returns an instance that isn't running yet.
-func New(s *settingsfile.Settings, l *log.Logger) *Instance {
+func New(s *settingsfile.Settings, l *log.Logger, around Surroundings) *Instance {
 	c := &common.Common{
 		Settings: s,
 		Log:      l,
@@ -65,8 +91,9 @@
 	}
 	_, _ = rand.Read(c.Incarnation[:])
 	i := &Instance{
-		common: c,
-		trail:  audit.NewTrail(s.AuditRecords),
+		common:       c,
+		surroundings: around,
+		trail:        audit.NewTrail(s.AuditRecords),
 	}
 	c.Audit = i.trail
 	i.documents = newDocuments(c)
@@ -78,19 +105,18 @@
 		TargetSuspect: i.targetSuspect,
 	})
 	i.documents.peers = i.peers
-	i.platform = &platform.Client{
-		Address: s.Platform,
-		HTTP:    &http.Client{},
+	i.documents.platform = around.Platform
+	i.documents.targets = around.Targets
+	if around.Tickets {
+		i.operations = operations.New(operations.Options{
+			Common: c,
+			Dispatcher: &operationDispatcher{
+				common:    c,
+				documents: i.documents,
+			},
+			Forwarder: i.peers,
+		})
 	}
-	i.documents.platform = i.platform
-	i.operations = operations.New(operations.Options{
-		Common: c,
-		Dispatcher: &operationDispatcher{
-			common:    c,
-			documents: i.documents,
-		},
-		Forwarder: i.peers,
-	})
 	return i
 }
 
@@ -163,7 +189,14 @@
 			listener: &l.operators,
 			address:  s.Operators,
 		},
+		{
+			listener: &l.readiness,
+			address:  s.Readiness,
+		},
 	} {
+		if x.address == "" {
+			continue
+		}
 		opened, err := net.Listen("tcp", x.address)
 		if err != nil {
 			l.close()
@@ -175,7 +208,7 @@
 }
 
 func (l *listeners) close() {
-	for _, x := range []net.Listener{l.callers, l.peers, l.operators} {
+	for _, x := range []net.Listener{l.callers, l.peers, l.operators, l.readiness} {
 		if x != nil {
 			_ = x.Close()
 		}
@@ -186,61 +219,57 @@
 	running.Go(func() { i.trail.Run(ctx) })
 	running.Go(func() { i.documents.Run(ctx) })
 	running.Go(func() { i.peers.Run(ctx) })
-	running.Go(func() { i.operations.Run(ctx) })
-	running.Go(func() { i.rulesWatcher().Run(ctx) })
-	running.Go(func() { i.listWatcher().Run(ctx) })
-}
-
-func (i *Instance) rulesWatcher() *platform.Watcher {
-	w := i.watcher("rules")
-	w.Read = func(ctx context.Context, plain bool, wait time.Duration) error {
-		after, wait := watchFrom(plain, i.documents.revision(), wait)
-		rules, err := i.platform.WatchRules(ctx, after, wait)
-		if rules != nil {
-			i.documents.mailbox.Post(rulesOffer{
-				rules: rules,
-				from:  fromPlatform,
-			})
-		}
-		return err
+	if i.operations != nil {
+		running.Go(func() { i.operations.Run(ctx) })
+	}
+	for _, f := range i.surroundings.Platform.Feeds() {
+		running.Go(func() { i.watcher(f).Run(ctx) })
 	}
-	return w
 }
 
-func (i *Instance) listWatcher() *platform.Watcher {
-	w := i.watcher("instances")
-	w.Read = func(ctx context.Context, plain bool, wait time.Duration) error {
-		after, wait := watchFrom(plain, i.documents.List().GetRevision(), wait)
-		list, err := i.platform.WatchInstances(ctx, after, wait)
-		if list != nil {
-			i.documents.mailbox.Post(listOffer{
-				list: list,
-				from: fromPlatform,
-			})
-		}
-		return err
+// watcher keeps one feed of the platform current.
+func (i *Instance) watcher(f tarragonwell.Feed) *platform.Watcher {
+	return &platform.Watcher{
+		Common:     i.common,
+		Name:       f.Name(),
+		Restorable: f.Restorable(),
+		Reader: func() (bool, time.Time) {
+			s := i.peers.Snapshot()
+			return s.Reader, s.Contact
+		},
+		Read: func(ctx context.Context, plain bool, wait time.Duration) error {
+			after, wait := i.watchFrom(plain, wait)
+			p, err := f.Watch(ctx, after, wait)
+			if err != nil {
+				return err
+			}
+			i.documents.offer(p)
+			i.peers.Contact(reached(after, p))
+			return nil
+		},
 	}
-	return w
 }
 
 // watchFrom is what to ask of the platform; a plain read waits for nothing.
-func watchFrom(plain bool, revision uint64, wait time.Duration) (uint64, time.Duration) {
+func (i *Instance) watchFrom(plain bool, wait time.Duration) (tarragonwell.Position, time.Duration) {
 	if plain {
-		return 0, 0
+		return tarragonwell.Position{}, 0
 	}
-	return revision, wait
+	return tarragonwell.Position{
+		Rules: i.documents.revision(),
+		List:  i.documents.published.Load().listRevision,
+	}, wait
 }
 
-func (i *Instance) watcher(name string) *platform.Watcher {
-	return &platform.Watcher{
-		Common: i.common,
-		Name:   name,
-		Reader: func() (bool, time.Time) {
-			s := i.peers.Snapshot()
-			return s.Reader, s.Contact
-		},
-		Contact: i.peers.Contact,
+// reached is how far a reading came.
+func reached(after tarragonwell.Position, p tarragonwell.Publication) tarragonwell.Position {
+	if p.Rules != nil {
+		after.Rules = p.Rules.Revision
 	}
+	if p.List != nil {
+		after.List = p.List.Revision
+	}
+	return after
 }
 
 // routing is what callers' requests are matched against, or nil before the
@@ -267,6 +296,17 @@
 	callers   *http.Server
 	peers     *http.Server
 	operators *http.Server
+	// readiness is nil where operators' address answers for it.
+	readiness *http.Server
+}
+
+// all lists the servers that run.
+func (s *servers) all() []*http.Server {
+	out := []*http.Server{s.callers, s.peers, s.operators}
+	if s.readiness != nil {
+		out = append(out, s.readiness)
+	}
+	return out
 }
 
 func (i *Instance) startServers(l *listeners, running *sync.WaitGroup) *servers {
@@ -275,13 +315,16 @@
 	protocols.SetUnencryptedHTTP2(true)
 	peerServer := &peer.Server{
 		Peers:      i.peers,
-		Operations: i.operations,
 		Documents:  i.documents,
 		HolderLife: holderLife,
 	}
+	if i.operations != nil {
+		peerServer.Operations = i.operations
+	}
 	s := &servers{
 		callers: caller.NewServer(caller.Options{
 			Common:     i.common,
+			Dialect:    i.surroundings.Callers,
 			Operations: i.operations,
 			Routing:    i.routing,
 			Leaving:    i.leaving.Load,
@@ -302,6 +345,14 @@
 	running.Go(func() { _ = s.callers.Serve(l.callers) })
 	running.Go(func() { _ = s.peers.Serve(peer.CountListener(l.peers, i.common.Metrics)) })
 	running.Go(func() { _ = s.operators.Serve(l.operators) })
+	if l.readiness != nil {
+		s.readiness = &http.Server{
+			Handler:           operator.ReadinessHandler(i),
+			ReadHeaderTimeout: headerTimeout,
+			ErrorLog:          i.common.Log.StandardLog(),
+		}
+		running.Go(func() { _ = s.readiness.Serve(l.readiness) })
+	}
 	return s
 }
 
--- a/internal/instance/join.go
+++ b/internal/instance/join.go
@@ -27,7 +27,7 @@
 		newest, answered, asked := i.greet(ctx)
 		rules := i.documents.Rules()
 		late := i.common.Clock.Now().Sub(begin) > joinPatience
-		if rules != nil && !newest.After(rules.Version) && (answered > 0 || asked == 0 && i.documents.List() != nil || late) {
+		if rules != nil && !newest.After(rules.Version) && (answered > 0 || asked == 0 && i.documents.published.Load().listRevision > 0 || late) {
 			break
 		}
 		wait(ctx, joinPoll)
@@ -81,9 +81,9 @@
 	for _, a := range i.common.Settings.Seeds {
 		add(a)
 	}
-	for _, x := range i.documents.List().GetInstances() {
-		if x.GetPeerAddress() != "" {
-			add(x.GetPeerAddress())
+	for _, x := range i.documents.published.Load().instances {
+		if x.PeerAddress != "" {
+			add(x.PeerAddress)
 		}
 	}
 	return out
--- a/internal/instance/leave.go
+++ b/internal/instance/leave.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/internal/control"
@@ -35,12 +34,14 @@
 	defer cancel()
 	if control.Holds(control.GracefulStop) {
 		wait(ctx, i.common.Settings.BalancerWait)
-		i.handOver(ctx)
+		if i.operations != nil {
+			i.handOver(ctx)
+		}
 		_ = s.callers.Shutdown(ctx)
 		i.peers.SetState(tarragonwell.MemberGone)
 		wait(ctx, farewell)
 	}
-	for _, x := range []*http.Server{s.callers, s.peers, s.operators} {
+	for _, x := range s.all() {
 		_ = x.Close()
 	}
 }
--- a/internal/instance/operation.go
+++ b/internal/instance/operation.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/operation"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/rules"
 )
 
 // operationDispatcher runs operations at their home.
@@ -25,18 +27,20 @@
 		return notRun("no rules are in force yet")
 	}
 	path, _, _ := strings.Cut(op.Path, "?")
-	route := routing.Match(op.Method, path)
+	route := routing.Match("", op.Method, path)
 	if route == nil {
 		return notRun("no rule routes this request")
 	}
+	service := rules.Part(route, rand.Float64())
 	name := fmt.Sprintf("%x-%d", op.Ticket.Incarnation, op.Ticket.Sequence)
-	result := routing.Dispatchers[route.Service.Name].Dispatch(ctx, &tarragonwell.Call{
+	result := routing.Dispatchers[service.Name].Dispatch(ctx, &tarragonwell.Call{
 		ID:          name,
 		Method:      op.Method,
 		Path:        op.Path,
 		Header:      op.Header,
 		Body:        op.Body,
 		Route:       route,
+		Service:     service,
 		Deadline:    op.Deadline,
 		RetriesLeft: op.RetriesLeft,
 		Operation:   name,
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -29,10 +29,7 @@
 		return
 	}
 	st.counts = d.count(st)
-	byService := map[string][]tarragonwell.ListedTarget{}
-	for _, t := range st.list.Targets {
-		byService[t.Service] = append(byService[t.Service], t)
-	}
+	byService := st.list.Targets()
 	for name, rule := range st.rules.Services {
 		r := st.running[name]
 		if r == nil {
@@ -55,7 +52,7 @@
 func (d *documents) count(st *documentsState) fleetCounts {
 	alive := d.peers.Snapshot().Alive
 	c := fleetCounts{
-		atMost:  max(st.rules.Fleet.InstancesAtMost, len(st.list.Instances), len(alive)+1),
+		atMost:  max(st.rules.Fleet.InstancesAtMost, len(st.list.Instances()), len(alive)+1),
 		serving: 1,
 	}
 	for _, m := range alive {
@@ -96,6 +93,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	s := service.New(service.Options{
 		Common:      d.common,
+		Dialect:     d.targets,
 		Rule:        rule,
 		Instances:   counts.atMost,
 		Sharers:     counts.serving,
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -56,6 +56,9 @@
 	slices.SortFunc(out.Services, func(a, b *pb.ServiceStatus) int {
 		return cmp.Compare(a.GetName(), b.GetName())
 	})
+	if i.operations == nil {
+		return out
+	}
 	if size, err := i.operations.Size(ctx); err == nil {
 		out.Operations = uint32(size.Entries)
 		out.OperationBytes = uint64(size.Bytes)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -57,6 +57,13 @@
 	return r
 }
 
+// ReadinessHandler answers only whether the instance is ready, on any path.
+func ReadinessHandler(s Source) http.Handler {
+	return http.HandlerFunc((&Server{
+		source: s,
+	}).readiness)
+}
+
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	_, _ = io.WriteString(w, "ok\n")
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/internal/sockets"
 	"github.com/tarragonwell/tarragonwell/internal/task"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1/tarragonwellv1connect"
@@ -40,10 +41,8 @@
 func newClient(c *common.Common) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{
-		Timeout:   dialTimeout,
-		LocalAddr: sourceOf(c.Settings.Peers),
-	}
+	dialer := sockets.Dialer(dialTimeout)
+	dialer.LocalAddr = sourceOf(c.Settings.Peers)
 	return &http.Client{
 		Transport: &http.Transport{
 			Protocols:       protocols,
@@ -101,13 +100,16 @@
 	}, nil
 }
 
-// FetchList reads the list that a peer has. It fails with ErrPeer.
-func (p *Peers) FetchList(ctx context.Context, address string) (*pb.InstanceList, error) {
-	response, err := p.service(address).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{}))
+// FetchList reads what has changed on the list that a peer has. It fails with
+// ErrPeer.
+func (p *Peers) FetchList(ctx context.Context, address string, since uint64) (*tarragonwell.ListChange, error) {
+	response, err := p.service(address).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{
+		Since: since,
+	}))
 	if err != nil {
 		return nil, eris.Wrap(ErrPeer, err.Error())
 	}
-	return response.Msg.GetList(), nil
+	return listOf(response.Msg.GetChange()), nil
 }
 
 // Forward implements tarragonwell.Forwarder.
--- /dev/null
+++ b/internal/peer/list.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// ownService is the name under which the system's own instances are listed.
+const ownService = "tarragonwell"
+
+// listMessage turns a change of the list into its message; nil for nil.
+func listMessage(c *tarragonwell.ListChange) *pb.ListChange {
+	if c == nil {
+		return nil
+	}
+	m := &pb.ListChange{
+		Since:    c.Since,
+		Revision: c.Revision,
+	}
+	for _, t := range c.Targets {
+		m.Targets = append(m.Targets, &pb.ListedTarget{
+			Id:         t.ID,
+			Service:    t.Service,
+			Address:    t.Address,
+			DataCenter: t.DataCenter,
+			Leaving:    t.Leaving,
+			Slots:      uint32(max(0, t.Slots)),
+			Born:       t.Born,
+			ColdMs:     millis(t.Cold),
+			Revision:   t.Revision,
+		})
+	}
+	for _, r := range c.Removed {
+		m.Removed = append(m.Removed, &pb.RemovedTarget{
+			Id:       r.ID,
+			Revision: r.Revision,
+		})
+	}
+	for _, i := range c.Instances {
+		m.Instances = append(m.Instances, &pb.ListedInstance{
+			Service:     ownService,
+			Address:     i.Address,
+			DataCenter:  i.DataCenter,
+			PeerAddress: i.PeerAddress,
+			State:       stateText(i.Leaving),
+		})
+	}
+	return m
+}
+
+const (
+	stateLeaving = "leaving"
+	stateLive    = "live"
+)
+
+func stateText(leaving bool) string {
+	if leaving {
+		return stateLeaving
+	}
+	return stateLive
+}
+
+// listOf turns a message into a change of the list; nil for nil.
+func listOf(m *pb.ListChange) *tarragonwell.ListChange {
+	if m == nil {
+		return nil
+	}
+	c := &tarragonwell.ListChange{
+		Since:    m.GetSince(),
+		Revision: m.GetRevision(),
+	}
+	for _, t := range m.GetTargets() {
+		c.Targets = append(c.Targets, tarragonwell.ListedTarget{
+			ID:         t.GetId(),
+			Service:    t.GetService(),
+			Address:    t.GetAddress(),
+			DataCenter: t.GetDataCenter(),
+			Leaving:    t.GetLeaving(),
+			Slots:      int(t.GetSlots()),
+			Born:       t.GetBorn(),
+			Cold:       duration(t.GetColdMs()),
+			Revision:   t.GetRevision(),
+		})
+	}
+	for _, r := range m.GetRemoved() {
+		c.Removed = append(c.Removed, tarragonwell.RemovedTarget{
+			ID:       r.GetId(),
+			Revision: r.GetRevision(),
+		})
+	}
+	for _, i := range m.GetInstances() {
+		c.Instances = append(c.Instances, tarragonwell.ListedInstance{
+			Address:     i.GetAddress(),
+			DataCenter:  i.GetDataCenter(),
+			PeerAddress: i.GetPeerAddress(),
+			Leaving:     i.GetState() == stateLeaving,
+		})
+	}
+	return c
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -26,6 +26,10 @@
 	listRevision uint64
 	// brief leaves out the sample of members and wants the same in return.
 	brief bool
+	// relay asks to pass the word of the platform's answer on, in the tree of
+	// relayRoot.
+	relay     bool
+	relayRoot string
 }
 
 // stateMessage changes the instance's own state.
@@ -54,8 +58,9 @@
 
 // versionsNews is what the instance has in force.
 type versionsNews struct {
-	rules        tarragonwell.RulesVersion
-	listRevision uint64
+	rules tarragonwell.RulesVersion
+	// seen is what was taken in, refused rules included.
+	seen tarragonwell.Position
 	// push passes the news on at once.
 	push bool
 }
@@ -65,8 +70,11 @@
 	addresses []string
 }
 
-// contactNews says that the platform has answered.
-type contactNews struct{}
+// contactNews says that the platform has answered, and what it had published by
+// then.
+type contactNews struct {
+	position tarragonwell.Position
+}
 
 func (n news) request() *pb.ExchangeRequest {
 	return &pb.ExchangeRequest{
@@ -78,6 +86,8 @@
 		PlatformAgeMs: millis(n.platformAge),
 		ListRevision:  n.listRevision,
 		Brief:         n.brief,
+		Relay:         n.relay,
+		RelayRoot:     n.relayRoot,
 	}
 }
 
--- a/internal/peer/news.go
+++ b/internal/peer/news.go
@@ -11,11 +11,11 @@
 	n := news{
 		rules:        versionMessage(st.rules),
 		platformAge:  neverAge,
-		listRevision: st.listRevision,
+		listRevision: st.seen.List,
 		brief:        brief,
 	}
-	if !st.contact.IsZero() {
-		n.platformAge = now.Sub(st.contact)
+	if !st.contacts.latest.at.IsZero() {
+		n.platformAge = now.Sub(st.contacts.latest.at)
 	}
 	sample := p.options.Common.Settings.Sample
 	if brief {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
 
 	"github.com/tarragonwell/tarragonwell/internal/task"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
@@ -27,12 +28,15 @@
 // Documents returns what the instance has in force, for peers to fetch.
 type Documents interface {
 	Rules() *tarragonwell.RuleSet
-	List() *pb.InstanceList
+	// ListSince returns what has changed after a revision, or nil before the
+	// first list.
+	ListSince(ctx context.Context, revision uint64) (*tarragonwell.ListChange, error)
 }
 
 // Server answers peers.
 type Server struct {
-	Peers      *Peers
+	Peers *Peers
+	// Operations is nil where callers know no tickets.
 	Operations OperationHolder
 	Documents  Documents
 	// HolderLife is how long the word that operations were taken over is kept.
@@ -56,6 +60,8 @@
 	}
 	heard := newsOf(r.Msg)
 	heard.brief = r.Msg.GetBrief()
+	heard.relay = r.Msg.GetRelay()
+	heard.relayRoot = r.Msg.GetRelayRoot()
 	answer, err := task.Ask(ctx, s.Peers.mailbox, func(reply chan<- news) any {
 		return heardMessage{
 			from:  from,
@@ -81,19 +87,25 @@
 	}), nil
 }
 
-// FetchList returns the platform's list as last read.
-func (s *Server) FetchList(context.Context, *connect.Request[pb.FetchListRequest]) (*connect.Response[pb.FetchListResponse], error) {
-	list := s.Documents.List()
-	if list == nil {
+// FetchList returns what has changed on the platform's list as last read.
+func (s *Server) FetchList(ctx context.Context, r *connect.Request[pb.FetchListRequest]) (*connect.Response[pb.FetchListResponse], error) {
+	change, err := s.Documents.ListSince(ctx, r.Msg.GetSince())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	if change == nil {
 		return nil, connect.NewError(connect.CodeNotFound, nil)
 	}
 	return connect.NewResponse(&pb.FetchListResponse{
-		List: list,
+		Change: listMessage(change),
 	}), nil
 }
 
 // Operate answers for a ticket that the instance holds.
 func (s *Server) Operate(ctx context.Context, r *connect.Request[pb.OperateRequest]) (*connect.Response[pb.OperateResponse], error) {
+	if s.Operations == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, errNoOperations)
+	}
 	o, err := operationOf(r.Msg)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
@@ -107,6 +119,9 @@
 // for this incarnation: a copy that reached a former life of this address may
 // have been acted on.
 func (s *Server) HandOver(ctx context.Context, r *connect.Request[pb.HandOverRequest]) (*connect.Response[pb.HandOverResponse], error) {
+	if s.Operations == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoOperations)
+	}
 	c := s.Peers.options.Common
 	if incarnationOf(r.Msg.GetSuccessor()) != c.Incarnation {
 		return nil, connect.NewError(connect.CodeAborted, operation.ErrWrongSuccessor)
@@ -129,6 +144,9 @@
 	return connect.NewResponse(&pb.HandOverResponse{}), nil
 }
 
+// errNoOperations means that the instance holds no operations.
+var errNoOperations = eris.New("no operations are held here")
+
 // adoptCode tells a refusal, after which the sender may turn to another peer,
 // from a failure that leaves open whether the operations were taken over.
 func adoptCode(err error) connect.Code {
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -27,11 +27,12 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// pushFanOut is the number of peers that news is passed on to at once.
 	pushFanOut = 3
-	// roundBudget and suspectBudget are what exchanges may use, in bytes a second,
-	// both directions: together what a node may spend. They are apart, so that
-	// suspicions in a bad hour hold no rules back.
-	roundBudget   = 3 << 10
-	suspectBudget = 2 << 10
+	// These are what exchanges may use, in bytes a second, both directions:
+	// together what a node may spend. They are apart, so that suspicions in a bad
+	// hour hold no rules back.
+	roundBudget   = 2 << 10
+	relayBudget   = 5 << 9
+	suspectBudget = 1 << 9
 	byteBurst     = 16 << 10
 	// suspectFanOut is the number of peers told of a suspect target. They do not
 	// pass it on: it is old news by then.
@@ -65,6 +66,7 @@
 	snapshot atomic.Pointer[Snapshot]
 	client   *http.Client
 	rounds   *rate.Limiter
+	relays   *rate.Limiter
 	suspects *rate.Limiter
 	skipped  func()
 }
@@ -87,11 +89,12 @@
 
 // state is owned by the task.
 type state struct {
-	view         membership.View
-	random       *rand.Rand
-	rules        tarragonwell.RulesVersion
-	listRevision uint64
-	contact      time.Time
+	view   membership.View
+	random *rand.Rand
+	rules  tarragonwell.RulesVersion
+	// seen is what the instance has taken in of what the platform publishes.
+	seen     tarragonwell.Position
+	contacts contacts
 }
 
 // New returns peers that aren't running yet.
@@ -101,6 +104,7 @@
 		mailbox:  task.NewMailbox[any](mailboxSize),
 		client:   newClient(o.Common),
 		rounds:   rate.NewLimiter(roundBudget, byteBurst),
+		relays:   rate.NewLimiter(relayBudget, byteBurst),
 		suspects: rate.NewLimiter(suspectBudget, byteBurst),
 	}
 	p.skipped = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_rounds_skipped_total").Inc
@@ -121,11 +125,11 @@
 }
 
 // SetVersions says what is in force; with push, peers are told at once.
-func (p *Peers) SetVersions(rules tarragonwell.RulesVersion, listRevision uint64, push bool) {
+func (p *Peers) SetVersions(rules tarragonwell.RulesVersion, seen tarragonwell.Position, push bool) {
 	p.mailbox.Post(versionsNews{
-		rules:        rules,
-		listRevision: listRevision,
-		push:         push,
+		rules: rules,
+		seen:  seen,
+		push:  push,
 	})
 }
 
@@ -136,9 +140,12 @@
 	})
 }
 
-// Contact says that the platform has answered.
-func (p *Peers) Contact() {
-	p.mailbox.Post(contactNews{})
+// Contact says that the platform has answered, and what it had published by
+// then.
+func (p *Peers) Contact(position tarragonwell.Position) {
+	p.mailbox.Post(contactNews{
+		position: position,
+	})
 }
 
 // TellHolder passes on where operations went.
@@ -184,6 +191,7 @@
 			if p.handle(st, m) {
 				p.round(ctx, st, pushFanOut, &exchanges)
 			}
+			p.relay(ctx, st, &exchanges)
 			if _, ok := m.(suspectNews); ok {
 				p.tellSuspects(ctx, st, &exchanges)
 			}
@@ -230,12 +238,17 @@
 		return true
 	case versionsNews:
 		st.rules = m.rules
-		st.listRevision = m.listRevision
+		st.seen = m.seen
+		st.contacts.settle(st.seen)
 		return m.push
 	case seedsNews:
 		st.view.Seeds = append(append([]string(nil), p.options.Common.Settings.Seeds...), m.addresses...)
 	case contactNews:
-		st.contact = now
+		st.contacts.hear(st.seen, word{
+			at:       now,
+			position: m.position,
+			own:      true,
+		})
 	case holderNews:
 		return st.view.MergeHolder(m.holder)
 	case leavingNews:
@@ -279,14 +292,13 @@
 			p.options.TargetSuspect(x.GetService(), x.GetAddress(), until)
 		}
 	}
-	contact := now.Add(-n.platformAge)
-	if len(n.members) > 0 && n.platformAge < neverAge && contact.After(st.contact) {
-		st.contact = contact
+	if len(n.members) > 0 && n.platformAge < neverAge {
+		st.contacts.hear(st.seen, wordOf(now, n))
 	}
 	if v := versionOf(n.rules); v.After(st.rules) {
 		p.options.RulesNews(from, v)
 	}
-	if n.listRevision > st.listRevision {
+	if n.listRevision > st.seen.List {
 		p.options.ListNews(from, n.listRevision)
 	}
 	return push
@@ -353,7 +365,7 @@
 		known:   map[string]bool{},
 		holders: map[tarragonwell.Incarnation]string{},
 		Leaving: maps.Clone(st.view.Leaving()),
-		Contact: st.contact,
+		Contact: st.contacts.latest.at,
 		Reader:  st.view.IsReader(now, p.options.Common.Settings.Readers),
 		State:   st.view.Self.State,
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
@@ -22,6 +23,8 @@
 const (
 	rulesPath     = "/v1/rules"
 	instancesPath = "/v1/instances"
+	// rulesName stands for the rules file in errors.
+	rulesName = "rules"
 	// answerSlack is how much longer than a watch's wait an answer may take.
 	answerSlack = 2 * time.Second
 	maxAnswer   = 4 << 20
@@ -38,27 +41,83 @@
 	HTTP *http.Client
 }
 
-// WatchRules implements tarragonwell.Platform.
-func (c *Client) WatchRules(ctx context.Context, after uint64, wait time.Duration) (*tarragonwell.PublishedRules, error) {
+// Feeds implements tarragonwell.Platform.
+func (c *Client) Feeds() []tarragonwell.Feed {
+	return []tarragonwell.Feed{
+		&rulesFeed{
+			client: c,
+		},
+		c.Instances(),
+	}
+}
+
+// Instances returns the feed of the list of instances and targets.
+func (c *Client) Instances() tarragonwell.Feed {
+	return &instancesFeed{
+		client: c,
+	}
+}
+
+// ParseRules implements tarragonwell.Platform.
+func (c *Client) ParseRules(p *tarragonwell.PublishedRules) (*tarragonwell.RuleSet, error) {
+	return rulesfile.Parse(rulesName, p.Revision, p.Content)
+}
+
+// rulesFeed watches the rules file.
+type rulesFeed struct {
+	client *Client
+}
+
+// Name implements tarragonwell.Feed.
+func (f *rulesFeed) Name() string {
+	return "rules"
+}
+
+// Restorable implements tarragonwell.Feed.
+func (f *rulesFeed) Restorable() bool {
+	return true
+}
+
+// Watch implements tarragonwell.Feed.
+func (f *rulesFeed) Watch(ctx context.Context, after tarragonwell.Position, wait time.Duration) (tarragonwell.Publication, error) {
 	var m pb.PublishedRules
-	found, err := c.watch(ctx, rulesPath, after, wait, &m)
+	found, err := f.client.watch(ctx, rulesPath, after.Rules, wait, &m)
 	if !found {
-		return nil, err
+		return tarragonwell.Publication{}, err
 	}
-	return &tarragonwell.PublishedRules{
-		Revision: m.GetRevision(),
-		Content:  m.GetContent(),
+	return tarragonwell.Publication{
+		Rules: &tarragonwell.PublishedRules{
+			Revision: m.GetRevision(),
+			Content:  m.GetContent(),
+		},
 	}, nil
 }
 
-// WatchInstances implements tarragonwell.Platform.
-func (c *Client) WatchInstances(ctx context.Context, after uint64, wait time.Duration) (*tarragonwell.InstanceList, error) {
+// instancesFeed watches the list of instances and targets.
+type instancesFeed struct {
+	client *Client
+}
+
+// Name implements tarragonwell.Feed.
+func (f *instancesFeed) Name() string {
+	return "instances"
+}
+
+// Restorable implements tarragonwell.Feed.
+func (f *instancesFeed) Restorable() bool {
+	return true
+}
+
+// Watch implements tarragonwell.Feed.
+func (f *instancesFeed) Watch(ctx context.Context, after tarragonwell.Position, wait time.Duration) (tarragonwell.Publication, error) {
 	var m pb.InstanceList
-	found, err := c.watch(ctx, instancesPath, after, wait, &m)
+	found, err := f.client.watch(ctx, instancesPath, after.List, wait, &m)
 	if !found {
-		return nil, err
+		return tarragonwell.Publication{}, err
 	}
-	return ListOf(&m), nil
+	return tarragonwell.Publication{
+		List: listOf(&m),
+	}, nil
 }
 
 // watch makes one call, which counts as one read however long it waits.
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -9,12 +9,11 @@
 	// ownService is the name under which the system's own instances are listed.
 	ownService   = "tarragonwell"
 	stateLeaving = "leaving"
-	stateLive    = "live"
 )
 
-// ListOf turns a message into a list.
-func ListOf(m *pb.InstanceList) *tarragonwell.InstanceList {
-	out := &tarragonwell.InstanceList{
+// listOf turns a message into a whole list.
+func listOf(m *pb.InstanceList) *tarragonwell.ListChange {
+	out := &tarragonwell.ListChange{
 		Revision: m.GetRevision(),
 	}
 	for _, i := range m.GetInstances() {
@@ -29,6 +28,7 @@
 			continue
 		}
 		out.Targets = append(out.Targets, tarragonwell.ListedTarget{
+			ID:         i.GetAddress(),
 			Service:    i.GetService(),
 			Address:    i.GetAddress(),
 			DataCenter: i.GetDataCenter(),
@@ -37,35 +37,3 @@
 	}
 	return out
 }
-
-// ListMessage turns a list into its message.
-func ListMessage(l *tarragonwell.InstanceList) *pb.InstanceList {
-	out := &pb.InstanceList{
-		Revision: l.Revision,
-	}
-	for _, i := range l.Instances {
-		out.Instances = append(out.Instances, &pb.ListedInstance{
-			Service:     ownService,
-			Address:     i.Address,
-			DataCenter:  i.DataCenter,
-			State:       stateText(i.Leaving),
-			PeerAddress: i.PeerAddress,
-		})
-	}
-	for _, t := range l.Targets {
-		out.Instances = append(out.Instances, &pb.ListedInstance{
-			Service:    t.Service,
-			Address:    t.Address,
-			DataCenter: t.DataCenter,
-			State:      stateText(t.Leaving),
-		})
-	}
-	return out
-}
-
-func stateText(leaving bool) string {
-	if leaving {
-		return stateLeaving
-	}
-	return stateLive
-}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -11,10 +11,7 @@
 const (
 	// idleInterval is how often an instance that does not read looks whether it
 	// is to.
-	idleInterval = 500 * time.Millisecond
-	// contactLimit is the age of the fleet's last contact with the platform
-	// after which an instance reads for itself.
-	contactLimit = 3 * time.Second
+	idleInterval = 400 * time.Millisecond
 	firstBackoff = 100 * time.Millisecond
 	// plainReadEvery is how often a reader reads without a revision, to find a
 	// revision that was published again with other bytes.
@@ -28,10 +25,10 @@
 	// Reader reports whether the instance is one that watches for the fleet, and
 	// when anyone last heard from the platform.
 	Reader func() (reader bool, contact time.Time)
-	// Read makes one call and hands on what is new.
+	// Read makes one call and hands on what is new, and that the platform answered.
 	Read func(ctx context.Context, plain bool, wait time.Duration) error
-	// Contact is told of each answer.
-	Contact func()
+	// Restorable says that the platform may show earlier revisions again.
+	Restorable bool
 	// Name is the value's name, for logs.
 	Name string
 }
@@ -43,11 +40,12 @@
 	backoff := time.Duration(0)
 	for n := 0; ctx.Err() == nil; n++ {
 		if !w.due() {
-			sleep(ctx, idleInterval/2+rand.N(idleInterval))
+			sleep(ctx, w.idle())
 			continue
 		}
 		// After an outage the platform may show what it was restored from.
-		plain := n%plainReadEvery == 0 || backoff > 0
+		plain := w.Restorable && (n%plainReadEvery == 0 || backoff > 0)
+		begin := w.Common.Clock.Now()
 		if err := w.Read(ctx, plain, s.WatchWait); err != nil {
 			backoff = min(max(firstBackoff, 2*backoff), s.BackoffLimit)
 			w.Common.Log.Debug("platform read failed", "value", w.Name, "error", err)
@@ -55,20 +53,32 @@
 			continue
 		}
 		backoff = 0
-		w.Contact()
 		if plain {
 			// A plain read returns at once.
 			sleep(ctx, firstBackoff)
 		}
+		sleep(ctx, s.Pace-w.Common.Clock.Now().Sub(begin))
 	}
 }
 
 func (w *Watcher) due() bool {
 	reader, contact := w.Reader()
-	return reader || w.Common.Clock.Now().Sub(contact) > contactLimit
+	return reader || w.Common.Clock.Now().Sub(contact) > w.Common.Settings.ContactLimit
+}
+
+// idle is the time until an instance that does not read looks again whether it
+// is to. It differs between instances, so that the first to read spares the
+// others.
+func (w *Watcher) idle() time.Duration {
+	_, contact := w.Reader()
+	left := w.Common.Settings.ContactLimit - w.Common.Clock.Now().Sub(contact)
+	return min(max(left, 0), idleInterval/2) + rand.N(idleInterval/2)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -17,7 +16,7 @@
 // one, or one that is too large to hold, is streamed.
 func (d *dispatch) attempt(ctx context.Context, l *lease, number, retriesLeft int) (*tarragonwell.Answer, *tarragonwell.ExchangeError) {
 	call := *d.call
-	call.ID = d.call.ID + "-" + strconv.Itoa(number)
+	call.Attempt = number
 	call.RetriesLeft = retriesLeft
 	if call.Route.Kind.Long {
 		return d.attemptLong(ctx, l, &call)
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,9 +13,9 @@
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
-// maxAttempts bounds the attempts of one call on this instance, those included
-// that targets refused.
-const maxAttempts = 4
+// usualAttempts bounds the attempts of one call on this instance where its route
+// does not, those included that targets refused.
+const usualAttempts = 4
 
 // dispatch is one call on its way. One goroutine owns it.
 type dispatch struct {
@@ -34,6 +35,9 @@
 
 // Dispatch implements tarragonwell.Dispatcher. The answer's body must be closed.
 func (s *Service) Dispatch(ctx context.Context, c *tarragonwell.Call) tarragonwell.Result {
+	if c.Service == nil {
+		c.Service = s.options.Rule
+	}
 	d := &dispatch{
 		service: s,
 		call:    c,
@@ -48,6 +52,9 @@
 
 // once makes one attempt and reports whether the call has ended.
 func (d *dispatch) once(ctx context.Context) (tarragonwell.Result, bool) {
+	if d.call.Service.Survey > 0 {
+		d.service.survey(ctx, d.request())
+	}
 	// The task refuses what waits past its deadline.
 	l, refusal := d.service.acquire(ctx, d.request())
 	if refusal != nil {
@@ -63,7 +70,7 @@
 			d.service.metrics.retries.Inc()
 			return tarragonwell.Result{}, false
 		}
-		return d.failed(err.Reason), true
+		return d.failed(err.Reason, causeOf(err)), true
 	}
 	if retryableStatus(answer.Status) && d.mayRepeat(ctx) {
 		d.repeated = true
@@ -97,7 +104,7 @@
 // mayGoOn decides whether a failed attempt is followed by another. What may
 // have run is sent again only where it may repeat.
 func (d *dispatch) mayGoOn(ctx context.Context, e *tarragonwell.ExchangeError) bool {
-	if d.attempts >= maxAttempts || ctx.Err() != nil || !d.timeLeft() {
+	if d.attempts >= d.maxAttempts() || ctx.Err() != nil || !d.timeLeft() {
 		return false
 	}
 	if e.Stage != tarragonwell.StageSent {
@@ -113,10 +120,17 @@
 // mayRepeat reports whether the call may be sent again though it may have run.
 func (d *dispatch) mayRepeat(ctx context.Context) bool {
 	repeatable := d.call.Route.Kind.Repeatable || !control.Holds(control.SingleSend)
-	return repeatable && !d.repeated && d.call.RetriesLeft > 0 && d.attempts < maxAttempts &&
+	return repeatable && !d.repeated && d.call.RetriesLeft > 0 && d.attempts < d.maxAttempts() &&
 		ctx.Err() == nil && d.timeLeft()
 }
 
+func (d *dispatch) maxAttempts() int {
+	if n := d.call.Route.MaxAttempts; n > 0 {
+		return n
+	}
+	return usualAttempts
+}
+
 func (d *dispatch) timeLeft() bool {
 	return d.service.options.Common.Clock.Now().Before(d.call.Deadline)
 }
@@ -155,13 +169,17 @@
 }
 
 func (d *dispatch) refused(r *scheduling.Refusal) tarragonwell.Result {
-	out := d.failed(r.Reason)
+	cause := tarragonwell.CauseBusy
+	if d.mayHaveRun {
+		cause = tarragonwell.CauseTarget
+	}
+	out := d.failed(r.Reason, cause)
 	out.RetryAfter = r.RetryAfter
 	return out
 }
 
 // failed ends the call without a good answer.
-func (d *dispatch) failed(reason string) tarragonwell.Result {
+func (d *dispatch) failed(reason string, cause tarragonwell.RefusalCause) tarragonwell.Result {
 	if d.fallback != nil {
 		return d.complete(d.fallback)
 	}
@@ -172,12 +190,25 @@
 	return tarragonwell.Result{
 		Outcome: outcome,
 		Reason:  reason,
+		Cause:   cause,
+	}
+}
+
+// causeOf tells a target that failed from time that ran out.
+func causeOf(e *tarragonwell.ExchangeError) tarragonwell.RefusalCause {
+	switch {
+	case e.Stage == tarragonwell.StageRefused:
+		return tarragonwell.CauseBusy
+	case errors.Is(e, context.DeadlineExceeded):
+		return tarragonwell.CauseDeadline
+	default:
+		return tarragonwell.CauseTarget
 	}
 }
 
 // run makes one attempt, with a second beside it where the kind is hedged.
 func (d *dispatch) run(ctx context.Context, l *lease) (*tarragonwell.Answer, *tarragonwell.ExchangeError) {
-	if d.call.Route.Kind.Hedge && l.grant.HedgeAfter > 0 && d.attempts == 1 && d.call.RetriesLeft > 0 {
+	if d.call.Route.Kind.Hedge && l.grant.HedgeAfter > 0 && d.attempts == 1 && d.call.RetriesLeft > 0 && d.maxAttempts() > 1 {
 		return d.race(ctx, l)
 	}
 	return d.attempt(ctx, l, d.attempts, d.retriesLeft())
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -20,6 +20,13 @@
 	handle *target.Target
 }
 
+// surveyMessage asks which targets are to be asked for their load before a call
+// is placed.
+type surveyMessage struct {
+	request scheduling.Request
+	reply   chan<- []*target.Target
+}
+
 // abandonMessage gives up a call that may be waiting or may have been granted.
 type abandonMessage struct {
 	id    uint64
@@ -45,15 +52,17 @@
 
 // leavingMessage takes in a peer's word that a target leaves.
 type leavingMessage struct {
-	address string
-	until   time.Time
-	from    string
+	// id names the target.
+	id    string
+	until time.Time
+	from  string
 }
 
 // suspectMessage takes in a peer's word that a target has fallen silent.
 type suspectMessage struct {
-	address string
-	until   time.Time
+	// id names the target.
+	id    string
+	until time.Time
 }
 
 // resumeMessage says that the targets have been confirmed after a pause.
--- /dev/null
+++ b/internal/service/survey.go
@@ -0,0 +1,57 @@
+package service
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/target"
+	"github.com/tarragonwell/tarragonwell/internal/task"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+// surveyLimit is how long answers are waited for before a call is placed by
+// what is known.
+const surveyLimit = 12 * time.Millisecond
+
+// survey asks a few targets for their load before a call is placed, so that
+// the choice rests on fresh news. It returns when all have answered or the
+// limit is over; late answers are still taken in.
+func (s *Service) survey(ctx context.Context, r scheduling.Request) {
+	ask, err := task.Ask(ctx, s.mailbox, func(reply chan<- []*target.Target) any {
+		return surveyMessage{
+			request: r,
+			reply:   reply,
+		}
+	})
+	if err != nil || len(ask) == 0 {
+		return
+	}
+	var asked sync.WaitGroup
+	for _, t := range ask {
+		// A question goes on though the call is placed: its answer is news all the
+		// same, and its connection stays fit for use.
+		asked.Go(func() { t.Ask(context.WithoutCancel(ctx)) })
+	}
+	done := make(chan struct{})
+	go func() {
+		asked.Wait()
+		close(done)
+	}()
+	limit := time.NewTimer(surveyLimit)
+	defer limit.Stop()
+	select {
+	case <-done:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
+// surveyed returns the targets to be asked.
+func (st *state) surveyed(now time.Time, r scheduling.Request) []*target.Target {
+	var out []*target.Target
+	for _, id := range st.scheduler.Survey(now, r) {
+		out = append(out, st.handles[id].target)
+	}
+	return out
+}
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -18,23 +18,33 @@
 		return
 	}
 	for _, i := range st.prober.ProbeTargets(now, states) {
-		st.handles[states[i].Address].target.Probe()
+		st.handles[states[i].ID].target.Probe()
 	}
 }
 
 func (s *Service) probed(now time.Time, st *state, r target.ProbeReport) {
-	st.scheduler.CountProbe(r.Address)
+	st.scheduler.CountProbe(r.ID)
 	s.metrics.probes.Inc()
 	if r.Err != nil {
-		s.options.Common.Log.Debug("probe failed", "service", st.rule.Name, "target", r.Address, "error", r.Err)
+		s.options.Common.Log.Debug("probe failed", "service", st.rule.Name, "target", r.ID, "error", r.Err)
 		return
 	}
-	st.scheduler.TakeLoad(now, r.Address, r.Load)
-	if st.prober != nil {
-		st.prober.TakeProbe(now, r.Address, r.Load, r.Latency)
+	if r.Answer.Load != nil {
+		s.takeLoad(now, st, r)
 	}
-	if r.Leaving && control.Holds(control.LeavingWord) {
-		s.leaving(now, st, r.Address, now.Add(leavingBelieved), r.Address)
+	if r.Answer.Leaving && control.Holds(control.LeavingWord) {
+		s.leaving(now, st, r.ID, now.Add(leavingBelieved), r.ID)
+	}
+}
+
+func (s *Service) takeLoad(now time.Time, st *state, r target.ProbeReport) {
+	if r.Asked {
+		st.scheduler.TakeAnswer(now, r.ID, *r.Answer.Load)
+	} else {
+		st.scheduler.TakeLoad(now, r.ID, *r.Answer.Load)
+	}
+	if st.prober != nil {
+		st.prober.TakeProbe(now, r.ID, *r.Answer.Load, r.Latency)
 	}
 }
 
@@ -45,35 +55,35 @@
 		return
 	}
 	st.scanned = now
-	for _, a := range st.scheduler.Suspects(now) {
-		s.options.TellSuspect(st.rule.Name, a, scheduling.SuspectUntil(now))
+	for _, id := range st.scheduler.Suspects(now) {
+		s.options.TellSuspect(st.rule.Name, id, scheduling.SuspectUntil(now))
 	}
 }
 
 // leaving marks a target. A target's own word is passed on to the peers.
-func (s *Service) leaving(now time.Time, st *state, address string, until time.Time, from string) {
-	news := st.scheduler.MarkLeaving(now, address, until)
+func (s *Service) leaving(now time.Time, st *state, id string, until time.Time, from string) {
+	news := st.scheduler.MarkLeaving(now, id, until)
 	if news {
-		s.change("target-leaving", address, from)
+		s.change("target-leaving", id, from)
 	}
-	own := from == address && s.options.TellLeaving != nil
-	if own && (news || now.Sub(st.told[address]) > leavingRetold) {
-		st.told[address] = now
-		s.options.TellLeaving(st.rule.Name, address, until)
+	own := from == id && s.options.TellLeaving != nil
+	if own && (news || now.Sub(st.told[id]) > leavingRetold) {
+		st.told[id] = now
+		s.options.TellLeaving(st.rule.Name, id, until)
 	}
 }
 
 func (s *Service) setTargets(ctx context.Context, st *state, targets *sync.WaitGroup, list []tarragonwell.ListedTarget) {
 	joined, left := st.scheduler.SetTargets(s.options.Common.Clock.Now(), list)
-	for _, a := range left {
-		delete(st.told, a)
-		st.handles[a].stop()
-		delete(st.handles, a)
-		s.change("target-left", a, "platform")
+	for _, id := range left {
+		delete(st.told, id)
+		st.handles[id].stop()
+		delete(st.handles, id)
+		s.change("target-left", id, "platform")
 	}
-	for _, a := range joined {
-		st.handles[a] = s.startTarget(ctx, st, targets, a)
-		s.change("target-joined", a, "platform")
+	for _, l := range joined {
+		st.handles[l.ID] = s.startTarget(ctx, st, targets, l)
+		s.change("target-joined", l.ID, "platform")
 	}
 	st.configureProbes()
 }
@@ -91,15 +101,17 @@
 		if t.Local || !anyLocal {
 			interval = st.probeInterval()
 		}
-		st.handles[t.Address].target.Configure(interval)
+		st.handles[t.ID].target.Configure(interval)
 	}
 }
 
-func (s *Service) startTarget(ctx context.Context, st *state, targets *sync.WaitGroup, address string) *handle {
+func (s *Service) startTarget(ctx context.Context, st *state, targets *sync.WaitGroup, l tarragonwell.ListedTarget) *handle {
 	ctx, stop := context.WithCancel(ctx)
 	t := target.New(target.Options{
 		Common:      s.options.Common,
-		Address:     address,
+		Dialect:     s.options.Dialect,
+		Service:     st.rule,
+		Listed:      l,
 		Connections: st.rule.Connections / max(1, st.instances),
 		Report: func(r target.ProbeReport) {
 			_ = s.mailbox.Send(ctx, r)
@@ -114,7 +126,12 @@
 	}
 }
 
+// probeInterval is 0 where targets are asked as calls come, out of the same
+// budget.
 func (st *state) probeInterval() time.Duration {
+	if st.rule.Survey > 0 {
+		return 0
+	}
 	if !control.Holds(control.ProbeBudget) {
 		return admission.ProbeInterval(st.rule.ProbeBudget, 1, 0, 0)
 	}
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -48,7 +48,9 @@
 // Options configures a Service.
 type Options struct {
 	Common *common.Common
-	Rule   *tarragonwell.Service
+	// Dialect is how targets are spoken to; nil for the system's own.
+	Dialect tarragonwell.TargetDialect
+	Rule    *tarragonwell.Service
 	// Instances is the highest known number of instances in the fleet.
 	Instances int
 	// Sharers is the number of instances that serve now, as far as is known.
@@ -56,10 +58,10 @@
 	// Targets is the platform's list at the start.
 	Targets []tarragonwell.ListedTarget
 	// TellLeaving passes on that a target said it leaves; it must not block.
-	TellLeaving func(service, address string, until time.Time)
+	TellLeaving func(service, id string, until time.Time)
 	// TellSuspect passes on that a target has fallen silent or fails; it must not
 	// block.
-	TellSuspect func(service, address string, until time.Time)
+	TellSuspect func(service, id string, until time.Time)
 	// Confirm asks for a new reading of the list, after which Resume is called;
 	// it must not block.
 	Confirm func()
@@ -124,11 +126,11 @@
 }
 
 // MarkLeaving takes in a peer's word that a target leaves.
-func (s *Service) MarkLeaving(address string, until time.Time, from string) {
+func (s *Service) MarkLeaving(id string, until time.Time, from string) {
 	s.mailbox.Post(leavingMessage{
-		address: address,
-		until:   until,
-		from:    from,
+		id:    id,
+		until: until,
+		from:  from,
 	})
 }
 
@@ -138,10 +140,10 @@
 }
 
 // MarkSuspect takes in a peer's word that a target has fallen silent.
-func (s *Service) MarkSuspect(address string, until time.Time) {
+func (s *Service) MarkSuspect(id string, until time.Time) {
 	s.mailbox.Post(suspectMessage{
-		address: address,
-		until:   until,
+		id:    id,
+		until: until,
 	})
 }
 
@@ -221,6 +223,7 @@
 		DataCenter: s.options.Common.Settings.DataCenter,
 		Chooser:    chooser,
 		Sharers:    s.options.Sharers,
+		Instances:  s.options.Instances,
 	})
 	return st
 }
@@ -242,14 +245,16 @@
 		}
 	case target.ProbeReport:
 		s.probed(now, st, m)
+	case surveyMessage:
+		m.reply <- st.surveyed(now, m.request)
 	case targetsMessage:
 		s.setTargets(ctx, st, targets, m.targets)
 	case configureMessage:
 		s.configure(st, m)
 	case leavingMessage:
-		s.leaving(now, st, m.address, m.until, m.from)
+		s.leaving(now, st, m.id, m.until, m.from)
 	case suspectMessage:
-		st.scheduler.MarkSuspect(now, m.address, m.until)
+		st.scheduler.MarkSuspect(now, m.id, m.until)
 	case resumeMessage:
 		st.scheduler.Resume()
 	case statusMessage:
@@ -303,6 +308,7 @@
 		Service:    m.service,
 		DataCenter: s.options.Common.Settings.DataCenter,
 		Sharers:    m.sharers,
+		Instances:  m.instances,
 	}
 	if m.service.Policy != st.policy {
 		o.Chooser = policy.New(m.service.Policy, common.NewRandom())
@@ -328,10 +334,10 @@
 	return out
 }
 
-func (s *Service) change(event, address, from string) {
+func (s *Service) change(event, target, from string) {
 	s.options.Common.Change(tarragonwell.AuditRecord{
 		Event:      event,
 		LearntFrom: from,
-		Detail:     s.options.Rule.Name + " " + address,
+		Detail:     s.options.Rule.Name + " " + target,
 	})
 }
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
+	"time"
 
 	"github.com/tarragonwell/tarragonwell/internal/control"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -26,7 +26,7 @@
 			Err:    err,
 		}
 	}
-	response, err := t.transport.RoundTrip(request)
+	response, err := t.transportFor(c).RoundTrip(request)
 	if err != nil {
 		return nil, w.failure(err)
 	}
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	u.Scheme = "http"
-	u.Host = t.options.Address
+	u.Host = t.options.Listed.Address
 	r := &http.Request{
 		Method:     c.Method,
 		URL:        u,
@@ -103,15 +103,12 @@
 		r.Host = v
 		r.Header.Del("Host")
 	}
-	r.Header.Set(HeaderRequestID, c.ID)
-	if !c.Route.Kind.Long {
-		r.Header.Set(HeaderDeadline, strconv.FormatInt(c.Deadline.UnixMilli(), 10))
+	if _, ok := r.Header["User-Agent"]; !ok {
+		// Else the transport would name itself.
+		r.Header.Set("User-Agent", "")
 	}
-	r.Header.Set(HeaderRetriesLeft, strconv.Itoa(c.RetriesLeft))
-	if c.Operation != "" {
-		r.Header.Set(HeaderOperation, c.Operation)
-	}
-	if c.Route.Kind.Repeatable || !control.Holds(control.SingleSend) {
+	t.dialect.WriteCall(c, &t.options.Listed, time.Until(c.Deadline), r.Header)
+	if !control.Holds(control.SingleSend) {
 		setBody(r, c.Body)
 		return r, nil
 	}
@@ -119,7 +116,7 @@
 	return r, nil
 }
 
-// setBody gives a request that may repeat a body that can be had again.
+// setBody gives a request a body that the transport can have again.
 func setBody(r *http.Request, body []byte) {
 	if len(body) == 0 {
 		return
@@ -158,26 +155,9 @@
 
 // answer checks what a target answered.
 func (t *Target) answer(r *http.Response, c *tarragonwell.Call) (*tarragonwell.Answer, error) {
-	load := parseLoad(r.Header.Get(HeaderLoad))
-	leaving := r.Header.Get(HeaderState) == stateDraining && control.Holds(control.LeavingWord)
-	if echo := r.Header.Get(HeaderRequestID); echo != "" && echo != c.ID && control.Holds(control.AnswerIdentity) {
-		_ = r.Body.Close()
-		t.transport.CloseIdleConnections()
-		return nil, &tarragonwell.ExchangeError{
-			Stage:   tarragonwell.StageSent,
-			Reason:  "the target answered another request",
-			Load:    load,
-			Leaving: leaving,
-		}
-	}
-	if why := r.Header.Get(HeaderNotRun); why != "" {
-		_ = r.Body.Close()
-		return nil, &tarragonwell.ExchangeError{
-			Stage:   tarragonwell.StageRefused,
-			Reason:  "the target refused: " + why,
-			Load:    load,
-			Leaving: leaving || (why == stateDraining && control.Holds(control.LeavingWord)),
-		}
+	head := t.dialect.ReadAnswer(c, r.StatusCode, r.Header)
+	if head.Verdict != tarragonwell.AnswerTaken {
+		return nil, t.turnAway(r, head)
 	}
 	stripHopByHop(r.Header)
 	return &tarragonwell.Answer{
@@ -185,8 +165,32 @@
 		Header:  r.Header,
 		Body:    r.Body,
 		Length:  r.ContentLength,
-		Load:    load,
-		Leaving: leaving,
-		Target:  t.options.Address,
+		Load:    head.Load,
+		Leaving: head.Leaving,
+		Target:  t.options.Listed.Address,
 	}, nil
 }
+
+// turnAway ends an exchange whose answer isn't taken.
+func (t *Target) turnAway(r *http.Response, head tarragonwell.AnswerHead) *tarragonwell.ExchangeError {
+	e := &tarragonwell.ExchangeError{
+		Stage:   tarragonwell.StageRefused,
+		Reason:  head.Reason,
+		Load:    head.Load,
+		Leaving: head.Leaving,
+	}
+	switch head.Verdict {
+	case tarragonwell.AnswerForeign:
+		e.Stage = tarragonwell.StageSent
+		// What else comes on this connection may belong to any call.
+		_ = r.Body.Close()
+		t.closeIdle()
+		return e
+	case tarragonwell.AnswerMisdirected:
+		e.Misdirected = true
+	}
+	// A short body read to its end leaves the connection fit for use.
+	_, _ = io.CopyN(io.Discard, r.Body, maxProbeBodySize)
+	_ = r.Body.Close()
+	return e
+}
--- a/internal/target/headers.go
+++ b/internal/target/headers.go
@@ -2,10 +2,7 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
-
-	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
 // Headers spoken with targets.
@@ -59,27 +56,3 @@
 		h.Del(name)
 	}
 }
-
-// parseLoad reads a target's report; nil where there is none.
-func parseLoad(text string) *tarragonwell.LoadReport {
-	if text == "" {
-		return nil
-	}
-	var l tarragonwell.LoadReport
-	for part := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		n, err := strconv.Atoi(value)
-		if err != nil || n < 0 {
-			return nil
-		}
-		switch name {
-		case "running":
-			l.Running = n
-		case "waiting":
-			l.Waiting = n
-		case "slots":
-			l.Slots = n
-		}
-	}
-	return &l
-}
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -4,9 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
+	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -18,16 +17,9 @@
 )
 
 const (
-	dialTimeout = 250 * time.Millisecond
-	// idleTimeout is below what targets usually allow, so that few connections
-	// are closed under a call.
-	idleTimeout      = 30 * time.Second
 	probeTimeout     = 500 * time.Millisecond
-	keepAlive        = 15 * time.Second
-	maxHeaderBytes   = 64 << 10
 	minConnections   = 2
 	mailboxSize      = 16
-	probePath        = "/load"
 	maxProbeBodySize = 4 << 10
 )
 
@@ -36,8 +28,12 @@
 
 // Options configures a Target.
 type Options struct {
-	Common  *common.Common
-	Address string
+	Common *common.Common
+	// Dialect is nil for the system's own.
+	Dialect tarragonwell.TargetDialect
+	// Service is the target's; it may be nil for the system's own dialect.
+	Service *tarragonwell.Service
+	Listed  tarragonwell.ListedTarget
 	// Connections is the instance's own share.
 	Connections int
 	// Report takes in the answers to probes; it must not block for long.
@@ -46,18 +42,23 @@
 
 // ProbeReport is the answer to a probe.
 type ProbeReport struct {
-	Address string
-	Load    tarragonwell.LoadReport
-	Leaving bool
+	// ID names the target.
+	ID      string
+	Answer  tarragonwell.ProbeAnswer
 	Latency time.Duration
+	// Asked says that the probe was made for a call that is to be placed.
+	Asked bool
 	// Err is set where the probe failed; it is an ErrProbe.
 	Err error
 }
 
 // Target is the task of one target. Make it with New and run it.
 type Target struct {
-	options   Options
+	options Options
+	dialect tarragonwell.TargetDialect
+	// transport is for what may repeat, single for what must not.
 	transport *http.Transport
+	single    *http.Transport
 	mailbox   *task.Mailbox[any]
 }
 
@@ -71,29 +72,15 @@
 
 // New returns a target that isn't running yet.
 func New(o Options) *Target {
-	dialer := &net.Dialer{
-		Timeout:   dialTimeout,
-		KeepAlive: keepAlive,
+	if o.Dialect == nil {
+		o.Dialect = Dialect{}
 	}
 	return &Target{
-		options: o,
-		mailbox: task.NewMailbox[any](mailboxSize),
-		transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dialer.DialContext(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return &trackedConn{
-					Conn: conn,
-				}, nil
-			},
-			MaxConnsPerHost:        max(minConnections, o.Connections),
-			MaxIdleConnsPerHost:    max(minConnections, o.Connections),
-			IdleConnTimeout:        idleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		options:   o,
+		dialect:   o.Dialect,
+		mailbox:   task.NewMailbox[any](mailboxSize),
+		transport: newTransport(o.Connections, idleTimeout),
+		single:    newTransport(o.Connections, singleIdleTimeout),
 	}
 }
 
@@ -113,7 +100,7 @@
 // end.
 func (t *Target) Run(ctx context.Context) {
 	defer t.mailbox.Stop()
-	defer t.transport.CloseIdleConnections()
+	defer t.closeIdle()
 	interval := time.Duration(0)
 	timer := time.NewTimer(firstWait(interval))
 	defer timer.Stop()
@@ -129,11 +116,11 @@
 					timer.Reset(firstWait(interval))
 				}
 			case probeMessage:
-				go t.probe(ctx)
+				go t.probe(ctx, false)
 			}
 		case <-timer.C:
 			if interval > 0 {
-				t.probe(ctx)
+				t.probe(ctx, false)
 			}
 			timer.Reset(waitFor(interval))
 		}
@@ -157,50 +144,44 @@
 	return w + rand.N(w)
 }
 
+// Ask asks the target for its load, for a call that is to be placed, and
+// reports the answer before it returns.
+func (t *Target) Ask(ctx context.Context) {
+	t.probe(ctx, true)
+}
+
 // probe asks the target for its load.
-func (t *Target) probe(ctx context.Context) {
+func (t *Target) probe(ctx context.Context, asked bool) {
 	begin := t.options.Common.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	load, leaving, err := t.readLoad(ctx)
+	answer, err := t.readLoad(ctx)
 	t.options.Report(ProbeReport{
-		Address: t.options.Address,
-		Load:    load,
-		Leaving: leaving,
+		ID:      t.options.Listed.ID,
+		Answer:  answer,
 		Latency: t.options.Common.Clock.Now().Sub(begin),
+		Asked:   asked,
 		Err:     err,
 	})
 }
 
-// loadDocument is the answer of a target's load endpoint.
-type loadDocument struct {
-	Running int    `json:"running"`
-	Waiting int    `json:"waiting"`
-	Slots   int    `json:"slots"`
-	State   string `json:"state"`
-}
-
-func (t *Target) readLoad(ctx context.Context) (tarragonwell.LoadReport, bool, error) {
-	var none tarragonwell.LoadReport
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.options.Address+probePath, nil)
+func (t *Target) readLoad(ctx context.Context) (tarragonwell.ProbeAnswer, error) {
+	var none tarragonwell.ProbeAnswer
+	url := "http://" + t.options.Listed.Address + t.dialect.ProbePath(t.options.Service)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return none, false, eris.Wrap(ErrProbe, err.Error())
+		return none, eris.Wrap(ErrProbe, err.Error())
 	}
 	// The transport must not repeat a probe by itself: probes have a budget.
 	setSingleBody(request, nil)
 	response, err := t.transport.RoundTrip(request)
 	if err != nil {
-		return none, false, eris.Wrap(ErrProbe, err.Error())
+		return none, eris.Wrap(ErrProbe, err.Error())
 	}
 	defer response.Body.Close()
-	var d loadDocument
-	body := http.MaxBytesReader(nil, response.Body, maxProbeBodySize)
-	if err := json.NewDecoder(body).Decode(&d); err != nil {
-		return none, false, eris.Wrap(ErrProbe, err.Error())
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxProbeBodySize))
+	if err != nil {
+		return none, eris.Wrap(ErrProbe, err.Error())
 	}
-	return tarragonwell.LoadReport{
-		Running: max(0, d.Running),
-		Waiting: max(0, d.Waiting),
-		Slots:   max(0, d.Slots),
-	}, d.State == stateDraining, nil
+	return t.dialect.ReadProbe(&t.options.Listed, response.StatusCode, response.Header, body)
 }
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -19,9 +19,16 @@
 	Callers    string
 	Peers      string
 	// PeerAddress is what other instances use; it is Peers unless set.
-	PeerAddress      string
-	Operators        string
-	Platform         string
+	PeerAddress string
+	Operators   string
+	// Readiness is empty where operators' address answers for it.
+	Readiness string
+	Platform  string
+	// PlatformKind is PlatformOwn or PlatformPrepared.
+	PlatformKind string
+	// Pace is the shortest time between two reads.
+	Pace             time.Duration
+	ContactLimit     time.Duration
 	WatchWait        time.Duration
 	BackoffLimit     time.Duration
 	Readers          int
@@ -41,8 +48,26 @@
 	OperationBytes  int
 	AuditRecords    int
 	LogLevel        string
+	Budgets         Budgets
 }
 
+// Budgets are the fleet's, for platforms whose rules name none.
+type Budgets struct {
+	// RetryRatio is between 0 and 1.
+	RetryRatio float64
+	RetrySlack float64
+	// Probes is in probes of a target in a second.
+	Probes          float64
+	Survey          int
+	InstancesAtMost int
+}
+
+// Kinds of platforms.
+const (
+	PlatformOwn      = "own"
+	PlatformPrepared = "prepared"
+)
+
 const (
 	defaultWatchWait        = time.Second
 	defaultBackoffLimit     = 5 * time.Second
@@ -58,6 +83,8 @@
 	defaultOperations       = 200_000
 	defaultOperationBytes   = 32 << 20
 	defaultAuditRecords     = 4096
+	defaultContactLimit     = 3 * time.Second
+	defaultInstancesAtMost  = 16
 )
 
 // ErrInvalid is the root of the errors of a settings file; each fault within is
@@ -121,6 +148,17 @@
 		OperationBytes:   orDefault(int(m.GetLimits().GetOperationBytes()), defaultOperationBytes),
 		AuditRecords:     orDefault(int(m.GetLimits().GetAuditRecords()), defaultAuditRecords),
 		LogLevel:         orDefault(m.GetLog().GetLevel(), "info"),
+		Readiness:        m.GetListen().GetReadiness(),
+		PlatformKind:     orDefault(m.GetPlatform().GetKind(), PlatformOwn),
+		Pace:             c.Duration("platform.pace", m.GetPlatform().GetPace(), 0),
+		ContactLimit:     c.Duration("platform.contact-limit", m.GetPlatform().GetContactLimit(), defaultContactLimit),
+		Budgets: Budgets{
+			RetryRatio:      m.GetBudgets().GetRetryRatio(),
+			RetrySlack:      m.GetBudgets().GetRetrySlack(),
+			Probes:          m.GetBudgets().GetProbes(),
+			Survey:          int(m.GetBudgets().GetSurvey()),
+			InstancesAtMost: orDefault(int(m.GetBudgets().GetInstancesAtMost()), defaultInstancesAtMost),
+		},
 	}
 	check(s, c)
 	return s
@@ -145,6 +183,14 @@
 	if s.Peers != "" && s.Peers == s.Operators {
 		c.Fail("listen.peers", "is used twice")
 	}
+	if s.Readiness != "" {
+		c.Address("listen.readiness", s.Readiness)
+	}
+	c.OneOf("platform.kind", s.PlatformKind, PlatformOwn, PlatformPrepared)
+	c.Share("budgets.retry-ratio", s.Budgets.RetryRatio)
+	if s.Budgets.RetrySlack < 0 || s.Budgets.Probes < 0 {
+		c.Fail("budgets", "a budget is below 0")
+	}
 	if s.RequestBodyBytes < 0 || s.HeldAnswerBytes < 0 {
 		c.Fail("limits", "a size is out of range")
 	}
--- a/pkg/tarragonwell/admission/budgets.go
+++ b/pkg/tarragonwell/admission/budgets.go
@@ -15,24 +15,38 @@
 type RetryBudget struct {
 	// Ratio is between 0 and 1.
 	Ratio float64
-	// spent less earned; at most retryFloor, at least -retryBurst.
+	// Slack is the number of retries that may be made at a time beside the ratio,
+	// in any span of time; 0 for the usual floor and burst.
+	Slack float64
+	// debt is spent less earned; at most the floor, at least minus the burst.
 	debt float64
 }
 
 // Earn takes in a first attempt.
 func (b *RetryBudget) Earn() {
-	b.debt = max(-retryBurst, b.debt-b.Ratio)
+	_, burst := b.bounds()
+	b.debt = max(-burst, b.debt-b.Ratio)
 }
 
 // Spend takes one retry out of the budget, or returns false.
 func (b *RetryBudget) Spend() bool {
-	if b.debt+1 > retryFloor {
+	floor, _ := b.bounds()
+	if b.debt+1 > floor {
 		return false
 	}
 	b.debt++
 	return true
 }
 
+// bounds returns what may be spent before anything is earned, and what may be
+// saved up beyond that.
+func (b *RetryBudget) bounds() (floor, burst float64) {
+	if b.Slack > 0 {
+		return b.Slack, 0
+	}
+	return retryFloor, retryBurst
+}
+
 // RetriesBelow is what an attempt may pass on of the retries that came with its
 // call. The call keeps one for itself, and its own retry passes on none, so the
 // attempts at any depth below are at most one more than the retries that came.
--- a/pkg/tarragonwell/admission/queue.go
+++ b/pkg/tarragonwell/admission/queue.go
@@ -17,7 +17,7 @@
 	ID       uint64
 	Kind     *tarragonwell.Kind
 	Deadline time.Time
-	// Exclude lists targets that the call has tried.
+	// Exclude lists the IDs of targets that the call has tried.
 	Exclude []string
 	// Spare marks a call that may only use what others leave, as a hedge.
 	Spare bool
--- a/pkg/tarragonwell/call.go
+++ b/pkg/tarragonwell/call.go
@@ -8,14 +8,18 @@
 // Call is one request on its way to a target.
 type Call struct {
 	// ID is unique; the target echoes it, which ties an answer to its request.
-	ID     string
-	Method string
+	ID string
+	// Attempt counts from 1 the sends of the call; 0 before the first.
+	Attempt int
+	Method  string
 	// Path holds the escaped path and the query.
 	Path   string
 	Header map[string][]string
 	// Body is held whole, so that a repeatable call can be sent again.
 	Body  []byte
 	Route *Route
+	// Service is the route's, or the part of the route that the call fell to.
+	Service *Service
 	// Deadline bounds the whole call; for long kinds, the wait for the first
 	// byte of the answer.
 	Deadline time.Time
@@ -48,6 +52,8 @@
 	Answer *Answer
 	// Reason says in a few words why the outcome isn't complete.
 	Reason string
+	// Cause is set where Answer is nil.
+	Cause RefusalCause
 	// RetryAfter is the time after which a refused call may fare better.
 	RetryAfter time.Duration
 }
@@ -58,6 +64,9 @@
 	Waiting int
 	// Slots is 0 where the target does not tell.
 	Slots int
+	// Slowness is how long work takes on the target's machine at this moment, in
+	// percent of the usual; 0 where the target does not tell.
+	Slowness int
 }
 
 // Total returns the calls that the target has in hand.
@@ -65,6 +74,91 @@
 	return l.Running + l.Waiting
 }
 
+// AnswerHead is what the header of a target's answer says.
+type AnswerHead struct {
+	Verdict AnswerVerdict
+	// Reason says in a few words why the answer isn't taken.
+	Reason string
+	// Load is the target's own report, or nil.
+	Load *LoadReport
+	// Leaving says that the target takes no new work.
+	Leaving bool
+	// IdleLimit is how long the target keeps an idle connection; 0 where it does
+	// not tell.
+	IdleLimit time.Duration
+}
+
+// AnswerVerdict says what an answer is to its call.
+type AnswerVerdict int
+
+const (
+	// AnswerTaken is an answer to the call.
+	AnswerTaken AnswerVerdict = iota
+	// AnswerRefusal is the target's word that it did not run the call.
+	AnswerRefusal
+	// AnswerMisdirected is the word of another target, which has the address now,
+	// that it did not run the call.
+	AnswerMisdirected
+	// AnswerForeign belongs to another call, or to none. The connection can't be
+	// used further.
+	AnswerForeign
+)
+
+// ProbeAnswer is what a target says to a probe.
+type ProbeAnswer struct {
+	// Load is nil where the target does not tell.
+	Load    *LoadReport
+	Leaving bool
+	// Unwell is the target's own word that it fails.
+	Unwell bool
+}
+
+// Refusal is the end of a call without a target's answer.
+type Refusal struct {
+	Outcome Outcome
+	Cause   RefusalCause
+	Reason  string
+	// RetryAfter is the time after which the caller may fare better; 0 for none.
+	RetryAfter time.Duration
+}
+
+// RefusalCause says why a call ended without a target's answer.
+type RefusalCause int
+
+const (
+	// CauseBusy is a lack of room or of targets, or an instance that isn't ready.
+	CauseBusy RefusalCause = iota
+	// CauseNoRoute means that no rule routes the request.
+	CauseNoRoute
+	// CauseMalformed is a request that can't be read.
+	CauseMalformed
+	// CauseTooLarge is a body over the limit.
+	CauseTooLarge
+	// CauseDeadline means that the time ran out.
+	CauseDeadline
+	// CauseTarget means that the targets failed.
+	CauseTarget
+)
+
+// EncodedAnswer is an answer of the instance's own, ready to be written.
+type EncodedAnswer struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// RequestError is a request that can't be read.
+type RequestError struct {
+	// Field is the header or part of the request.
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *RequestError) Error() string {
+	return e.Field + ": " + e.Reason
+}
+
 // Stage says how far a failed exchange had come.
 type Stage int
 
@@ -86,7 +180,9 @@
 	Load *LoadReport
 	// Leaving says that the target takes no new work.
 	Leaving bool
-	Err     error
+	// Misdirected says that another target has the address now.
+	Misdirected bool
+	Err         error
 }
 
 // Error implements error.
--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -16,20 +16,54 @@
 	Record(AuditRecord)
 }
 
-// Platform reads and watches what operators publish. Implementations write
-// nothing.
+// Platform reads what operators publish. Implementations write nothing.
 type Platform interface {
-	// WatchRules returns the rules file once its revision is greater than after,
-	// or nil when the wait ran out without news.
-	WatchRules(ctx context.Context, after uint64, wait time.Duration) (*PublishedRules, error)
-	// WatchInstances does the same for the list of targets and instances.
-	WatchInstances(ctx context.Context, after uint64, wait time.Duration) (*InstanceList, error)
+	// Feeds lists what is to be watched, each by a task of its own.
+	Feeds() []Feed
+	// ParseRules checks published rules. The verdict depends on the revision and
+	// the bytes alone, so that all instances agree.
+	ParseRules(p *PublishedRules) (*RuleSet, error)
 }
 
-// PublishedRules is one reading of the rules file.
-type PublishedRules struct {
-	Revision uint64
-	Content  []byte
+// Feed is a part of what the platform publishes that is watched with one call
+// at a time.
+type Feed interface {
+	// Name is for logs.
+	Name() string
+	// Watch returns what was published after a position, or nothing when the
+	// wait ran out. From the zero position it reads everything at once.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Publication, error)
+	// Restorable says that the platform may show earlier revisions again, as
+	// after a restore, so that everything is to be read now and then.
+	Restorable() bool
+}
+
+// CallerDialect translates between callers' headers and calls.
+type CallerDialect interface {
+	// ReadCall takes what a request's header says into the call and takes out of
+	// the header what is not for targets. The call's kind and its bound on the
+	// deadline are set before. It fails with a *RequestError.
+	ReadCall(now time.Time, client string, c *Call) error
+	// WriteRefusal encodes the end of a call that is not a target's answer.
+	WriteRefusal(r *Refusal) EncodedAnswer
+	// WriteAnswer turns the header of a target's answer into what the caller is
+	// told.
+	WriteAnswer(r *Result, header map[string][]string)
+}
+
+// TargetDialect translates between calls and what targets speak. It is shared by
+// all tasks and has no state.
+type TargetDialect interface {
+	// WriteCall completes the header of a call to a target. left is the time
+	// until the call's deadline.
+	WriteCall(c *Call, to *ListedTarget, left time.Duration, header map[string][]string)
+	// ReadAnswer judges the header of an answer.
+	ReadAnswer(c *Call, status int, header map[string][]string) AnswerHead
+	// ProbePath is asked for a target's load.
+	ProbePath(s *Service) string
+	// ReadProbe takes in the answer to a probe. It fails where the answer can't
+	// be read or comes from another target.
+	ReadProbe(to *ListedTarget, status int, header map[string][]string, body []byte) (ProbeAnswer, error)
 }
 
 // Exchanger sends calls to one target.
@@ -55,6 +89,9 @@
 	// MeanOthers is the mean number of other instances' calls at a target, for
 	// targets that have not reported.
 	MeanOthers float64
+	// MeanSlowness is the mean that targets report, in parts of the usual; 0
+	// where none has.
+	MeanSlowness float64
 	// Ramp is the time over which a new target is given its full share.
 	Ramp time.Duration
 	// Entitled says that the instance has fewer calls in flight than its share
@@ -69,7 +106,7 @@
 	// ProbeTargets returns indexes into targets.
 	ProbeTargets(now time.Time, targets []*TargetState) []int
 	// TakeProbe hands in the answer to a probe.
-	TakeProbe(now time.Time, address string, load LoadReport, latency time.Duration)
+	TakeProbe(now time.Time, id string, load LoadReport, latency time.Duration)
 }
 
 // Dispatcher brings a call to a target and back.
--- /dev/null
+++ b/pkg/tarragonwell/listing/listing.go
@@ -0,0 +1,258 @@
+// Package listing joins changes of the platform's list, however they reach an
+// instance, into one view of the targets. It is pure: it is told the time and
+// is owned by one task.
+package listing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+const (
+	// lapseLife is how long the target of a removed entry may still be used. An
+	// entry that lapsed while the platform was away is back by then if its target
+	// lives.
+	lapseLife = 1600 * time.Millisecond
+	// massLapseLife is the same where a large part of a service's entries went
+	// together: a sign that leases ran out, not targets. They are back within two
+	// seconds or so of the platform's return.
+	massLapseLife = 2500 * time.Millisecond
+	// maxLapsedShare is the share of a service's targets up to which a removal is
+	// believed.
+	maxLapsedShare = 0.34
+	// maxRemovals bounds the removals that are remembered for peers.
+	maxRemovals = 2048
+)
+
+// Listing is what an instance knows of the list. The zero value is empty.
+type Listing struct {
+	revision  uint64
+	targets   map[string]*entry
+	instances []tarragonwell.ListedInstance
+	// removals holds the latest, ordered by revision.
+	removals []tarragonwell.RemovedTarget
+	// horizon is the revision since which removals are complete.
+	horizon uint64
+}
+
+// entry is one target. A removed one is kept until its lapse is over.
+type entry struct {
+	target tarragonwell.ListedTarget
+	// removedAt is zero while the entry is listed.
+	removedAt time.Time
+}
+
+// Revision returns that of the latest change; 0 before the first.
+func (l *Listing) Revision() uint64 {
+	return l.revision
+}
+
+// Instances returns the listed instances of tarragonwell.
+func (l *Listing) Instances() []tarragonwell.ListedInstance {
+	return l.instances
+}
+
+// Apply takes in a change. It reports whether the list is another one now, and
+// false for ok where the change builds on a revision that is not known yet.
+func (l *Listing) Apply(now time.Time, c *tarragonwell.ListChange) (changed, ok bool) {
+	if c.Since > l.revision {
+		return false, false
+	}
+	if c.Revision < l.revision || (c.Revision == l.revision && l.targets != nil) {
+		return false, true
+	}
+	if l.targets == nil {
+		l.targets = map[string]*entry{}
+	}
+	if c.Since == 0 {
+		l.replace(now, c)
+	} else {
+		l.merge(now, c)
+	}
+	l.revision = c.Revision
+	return true, true
+}
+
+// replace takes in a whole list.
+func (l *Listing) replace(now time.Time, c *tarragonwell.ListChange) {
+	listed := map[string]bool{}
+	for _, t := range c.Targets {
+		listed[idOf(t)] = true
+		l.put(t)
+	}
+	for id, e := range l.targets {
+		if !listed[id] && e.target.Revision <= c.Revision {
+			l.remove(now, id, e)
+		}
+	}
+	l.instances = c.Instances
+	l.removals = nil
+	l.horizon = c.Revision
+}
+
+// merge takes in what has changed since an earlier revision.
+func (l *Listing) merge(now time.Time, c *tarragonwell.ListChange) {
+	for _, t := range c.Targets {
+		l.put(t)
+	}
+	for _, r := range c.Removed {
+		if r.Revision <= l.revision {
+			continue
+		}
+		if e := l.targets[r.ID]; e != nil && e.target.Revision < r.Revision {
+			l.remove(now, r.ID, e)
+		}
+		l.removals = append(l.removals, r)
+	}
+	slices.SortFunc(l.removals, func(a, b tarragonwell.RemovedTarget) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+	if excess := len(l.removals) - maxRemovals; excess > 0 {
+		l.horizon = l.removals[excess-1].Revision
+		l.removals = slices.Clone(l.removals[excess:])
+	}
+}
+
+// put takes in an entry unless a later one is known.
+func (l *Listing) put(t tarragonwell.ListedTarget) {
+	t.ID = idOf(t)
+	t.Lapsed = false
+	e := l.targets[t.ID]
+	if e == nil {
+		l.targets[t.ID] = &entry{
+			target: t,
+		}
+		return
+	}
+	if t.Revision < e.target.Revision {
+		return
+	}
+	e.target = t
+	e.removedAt = time.Time{}
+}
+
+// remove marks an entry. Only one without an identity of its own is dropped at
+// once: its address may be another target's soon.
+func (l *Listing) remove(now time.Time, id string, e *entry) {
+	if e.target.ID == e.target.Address {
+		delete(l.targets, id)
+		return
+	}
+	if e.removedAt.IsZero() {
+		e.removedAt = now
+	}
+}
+
+// Expire drops the targets whose lapse is over. It reports whether there were
+// any.
+func (l *Listing) Expire(now time.Time) bool {
+	mass := l.massLapsed()
+	dropped := false
+	for id, e := range l.targets {
+		life := lapseLife
+		if mass[e.target.Service] {
+			life = massLapseLife
+		}
+		if !e.removedAt.IsZero() && now.Sub(e.removedAt) >= life {
+			delete(l.targets, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// massLapsed names the services that lost so many entries that it is taken for
+// a fault of the platform.
+func (l *Listing) massLapsed() map[string]bool {
+	lapsed := map[string]int{}
+	total := map[string]int{}
+	for _, e := range l.targets {
+		total[e.target.Service]++
+		if !e.removedAt.IsZero() {
+			lapsed[e.target.Service]++
+		}
+	}
+	out := map[string]bool{}
+	for service, n := range lapsed {
+		out[service] = float64(n) > maxLapsedShare*float64(total[service])
+	}
+	return out
+}
+
+// Lapsing reports whether a removed entry is still kept.
+func (l *Listing) Lapsing() bool {
+	for _, e := range l.targets {
+		if !e.removedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// Targets returns the targets by service, each ordered by ID. Removed ones are
+// marked as lapsed, unless many of the service's were removed together.
+func (l *Listing) Targets() map[string][]tarragonwell.ListedTarget {
+	mass := l.massLapsed()
+	out := map[string][]tarragonwell.ListedTarget{}
+	for _, e := range l.targets {
+		t := e.target
+		t.Lapsed = !e.removedAt.IsZero() && !mass[t.Service]
+		out[t.Service] = append(out[t.Service], t)
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b tarragonwell.ListedTarget) int {
+			return cmp.Compare(a.ID, b.ID)
+		})
+	}
+	return out
+}
+
+// Since returns what has changed after a revision, or the whole list where that
+// is no longer known. It returns nil before the first change.
+func (l *Listing) Since(revision uint64) *tarragonwell.ListChange {
+	if l.targets == nil {
+		return nil
+	}
+	c := &tarragonwell.ListChange{
+		Since:    revision,
+		Revision: l.revision,
+	}
+	if revision < l.horizon || revision > l.revision || !l.revised() {
+		c.Since = 0
+		c.Instances = l.instances
+	}
+	for _, e := range l.targets {
+		if e.removedAt.IsZero() && (c.Since == 0 || e.target.Revision > revision) {
+			c.Targets = append(c.Targets, e.target)
+		}
+	}
+	if c.Since == 0 {
+		return c
+	}
+	for _, r := range l.removals {
+		if r.Revision > revision {
+			c.Removed = append(c.Removed, r)
+		}
+	}
+	return c
+}
+
+// revised reports whether the entries have revisions of their own.
+func (l *Listing) revised() bool {
+	for _, e := range l.targets {
+		if e.target.Revision == 0 {
+			return false
+		}
+	}
+	return l.horizon > 0
+}
+
+func idOf(t tarragonwell.ListedTarget) string {
+	if t.ID == "" {
+		return t.Address
+	}
+	return t.ID
+}
--- /dev/null
+++ b/pkg/tarragonwell/membership/tree.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// treeFanOut is the number of peers that an instance passes urgent news on to.
+const treeFanOut = 3
+
+// Children lists the peers of the own data center to which the instance passes
+// on news that root spreads there. All instances with the same view agree on
+// the tree; it is another one for each root.
+func (v *View) Children(now time.Time, root string) []tarragonwell.Member {
+	members := append(v.near(now), v.Self)
+	slices.SortFunc(members, func(a, b tarragonwell.Member) int {
+		return strings.Compare(a.PeerAddress, b.PeerAddress)
+	})
+	indexOf := func(address string) int {
+		return slices.IndexFunc(members, func(m tarragonwell.Member) bool { return m.PeerAddress == address })
+	}
+	first := indexOf(root)
+	if first < 0 {
+		return nil
+	}
+	own := (indexOf(v.Self.PeerAddress) - first + len(members)) % len(members)
+	var out []tarragonwell.Member
+	for n := treeFanOut*own + 1; n <= treeFanOut*(own+1) && n < len(members); n++ {
+		out = append(out, members[(first+n)%len(members)])
+	}
+	return out
+}
+
+// Delegates draws one peer of each other data center.
+func (v *View) Delegates(now time.Time, r *rand.Rand) []tarragonwell.Member {
+	far := slices.DeleteFunc(v.Alive(now), func(m tarragonwell.Member) bool {
+		return m.DataCenter == v.Self.DataCenter
+	})
+	r.Shuffle(len(far), func(i, j int) {
+		far[i], far[j] = far[j], far[i]
+	})
+	seen := map[string]bool{}
+	return slices.DeleteFunc(far, func(m tarragonwell.Member) bool {
+		again := seen[m.DataCenter]
+		seen[m.DataCenter] = true
+		return again
+	})
+}
+
+// near lists the peers of the own data center.
+func (v *View) near(now time.Time) []tarragonwell.Member {
+	return slices.DeleteFunc(v.Alive(now), func(m tarragonwell.Member) bool {
+		return m.DataCenter != v.Self.DataCenter
+	})
+}
--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -32,6 +32,18 @@
 	// suspectSlowdown is where a target's own report is no longer believed.
 	suspectSlowdown = 1.5
 	maxSlowdown     = 20
+	// enoughNear is the number of targets in the own data centre below which
+	// kinds with small answers use the others as well.
+	enoughNear = 4
+	// askedLately is the age up to which the answer of a target that was asked
+	// makes it a candidate.
+	askedLately = 40 * time.Millisecond
+	// slownessLife is the time over which a report of slowness fades towards the
+	// mean: spells are short.
+	slownessLife = 120 * time.Millisecond
+	// coldPenalty is the cost of a target that has just started, in parts of the
+	// usual time of work.
+	coldPenalty = 1
 )
 
 // AdaptiveChooser is the default. It estimates how many slots of each target
@@ -54,7 +66,8 @@
 	room := func(t *tarragonwell.TargetState) bool {
 		return awake(t) && hasRoom(now, t, in)
 	}
-	if c.collect(targets, func(t *tarragonwell.TargetState) bool { return t.Local && room(t) }) {
+	local := func(t *tarragonwell.TargetState) bool { return t.Local && room(t) }
+	if c.collect(targets, local) && enough(in.Kind, len(c.candidates)) {
 		return c.bestOfSample(now, in, targets)
 	}
 	if c.collect(targets, room) {
@@ -83,11 +96,40 @@
 	return len(c.candidates) > 0
 }
 
-// bestOfSample draws a few candidates without replacement and returns the one
-// with the lowest cost.
+// enough reports whether so many targets of the own data centre will do for a
+// kind. Kinds that are not kept near use the others besides a few.
+func enough(k *tarragonwell.Kind, near int) bool {
+	return !k.Roams || near >= enoughNear
+}
+
+// Near returns the targets that a call of a kind is placed on by preference.
+func Near(targets []*tarragonwell.TargetState, k *tarragonwell.Kind) []*tarragonwell.TargetState {
+	var near []*tarragonwell.TargetState
+	for _, t := range targets {
+		if t.Local {
+			near = append(near, t)
+		}
+	}
+	if len(near) > 0 && enough(k, len(near)) {
+		return near
+	}
+	return targets
+}
+
+// bestOfSample returns the candidate with the lowest cost among those that were
+// asked for their load and a few others, drawn without replacement.
 func (c *AdaptiveChooser) bestOfSample(now time.Time, in tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
 	best := -1
 	bestCost := math.Inf(1)
+	for _, i := range c.candidates {
+		if now.Sub(targets[i].AskedAt) > askedLately {
+			continue
+		}
+		if k := cost(now, targets[i], in); k < bestCost {
+			best = i
+			bestCost = k
+		}
+	}
 	for n := range min(choiceSamples, len(c.candidates)) {
 		j := n + intN(c.Random, len(c.candidates)-n)
 		c.candidates[n], c.candidates[j] = c.candidates[j], c.candidates[n]
@@ -161,6 +203,9 @@
 
 // cost orders the targets that have room.
 func cost(now time.Time, t *tarragonwell.TargetState, in tarragonwell.ChoiceInput) float64 {
+	if in.MeanSlowness > 0 {
+		return reportedCost(now, t, in)
+	}
 	slowdown := 1.0
 	if t.Slowdown > 0 {
 		slowdown = min(maxSlowdown, max(0.5, t.Slowdown))
@@ -172,3 +217,22 @@
 	}
 	return k
 }
+
+// reportedCost orders targets that tell how slow their machines are: the time
+// of work in parts of the usual, and the share of the slots that are taken.
+func reportedCost(now time.Time, t *tarragonwell.TargetState, in tarragonwell.ChoiceInput) float64 {
+	slowness := in.MeanSlowness
+	if t.Slowness > 0 {
+		fresh := math.Exp(-float64(now.Sub(t.ReportedAt)) / float64(slownessLife))
+		slowness = t.Slowness*fresh + in.MeanSlowness*(1-fresh)
+	}
+	k := slowness + Occupancy(now, t, in)/float64(t.Slots)
+	if now.Before(t.ColdUntil) {
+		k += coldPenalty
+	}
+	k *= 1 + failurePenalty*t.FailureRate
+	if !t.Local {
+		k += remotePenalty
+	}
+	return k
+}
--- a/pkg/tarragonwell/policy/probepool.go
+++ b/pkg/tarragonwell/policy/probepool.go
@@ -28,7 +28,7 @@
 }
 
 type probe struct {
-	address  string
+	id       string
 	inFlight int
 	latency  time.Duration
 	taken    time.Time
@@ -48,12 +48,12 @@
 }
 
 // TakeProbe implements tarragonwell.Prober.
-func (c *ProbePoolChooser) TakeProbe(now time.Time, address string, load tarragonwell.LoadReport, latency time.Duration) {
+func (c *ProbePoolChooser) TakeProbe(now time.Time, id string, load tarragonwell.LoadReport, latency time.Duration) {
 	if len(c.pool) >= probePoolSize {
 		c.pool = c.pool[1:]
 	}
 	c.pool = append(c.pool, probe{
-		address:  address,
+		id:       id,
 		inFlight: load.Total(),
 		latency:  latency,
 		taken:    now,
@@ -64,10 +64,10 @@
 func (c *ProbePoolChooser) Choose(now time.Time, _ tarragonwell.ChoiceInput, targets []*tarragonwell.TargetState) int {
 	index := map[string]int{}
 	for i, t := range targets {
-		index[t.Address] = i
+		index[t.ID] = i
 	}
 	c.pool = slices.DeleteFunc(c.pool, func(p probe) bool {
-		_, known := index[p.address]
+		_, known := index[p.id]
 		return !known || p.uses >= probeReuse || now.Sub(p.taken) > probeMaxAge
 	})
 	if len(c.pool) < poolLowWatermark {
@@ -76,7 +76,7 @@
 	best := c.best()
 	c.pool[best].uses++
 	c.pool[best].inFlight++
-	return index[c.pool[best].address]
+	return index[c.pool[best].id]
 }
 
 // best returns the cold probe with the least latency, or where all are hot the
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -40,6 +40,17 @@
 	Routes []*Route
 	// Lines are all rules in the order of the file.
 	Lines []RuleLine
+	// Limits bound what callers may send.
+	Limits CallerLimits
+}
+
+// CallerLimits bound what callers may send. A zero field leaves the limit to
+// the settings.
+type CallerLimits struct {
+	// RequestBodyBytes bounds a request's body.
+	RequestBodyBytes int64
+	// Idle is how long a caller may leave a connection idle at least.
+	Idle time.Duration
 }
 
 // RuleLine is one rule as the operator wrote it.
@@ -73,6 +84,14 @@
 	ProbeBudget float64
 	// RetryRatio is between 0 and 1.
 	RetryRatio float64
+	// RetrySlack is the number of retries that the whole fleet may make at a time
+	// beside the ratio; 0 for the usual.
+	RetrySlack float64
+	// Survey is how many targets are asked for their load before a call is
+	// placed, within the probe budget; 0 for none.
+	Survey int
+	// HealthPath is asked for load; empty for the usual.
+	HealthPath string
 	Ramp       time.Duration
 	Policy     string
 	Line       RuleLine
@@ -87,10 +106,15 @@
 	// Long says that answers are streamed.
 	Long     bool
 	Deadline time.Duration
+	// Objective is the time within which an answer is worth most; 0 for none.
+	Objective time.Duration
 	// Weight is at least 1.
 	Weight int
 	// SlotShare is in (0, 1].
 	SlotShare float64
+	// Roams says that answers are small, so that targets of other data centres
+	// are used as well where the own has few.
+	Roams bool
 	// Hedge is set on repeatable, short kinds only.
 	Hedge bool
 	Line  RuleLine
@@ -98,11 +122,27 @@
 
 // Route sends requests to a service as one kind.
 type Route struct {
+	// Host is empty for any host. With a host, the path is a literal prefix.
+	Host string
 	// Method is empty for any method.
 	Method string
 	// Path is a prefix that ends on a segment boundary.
-	Path    string
+	Path string
+	// Service is nil where Parts is set.
+	Service *Service
+	// Parts are the services that share the route, or empty.
+	Parts []RoutePart
+	Kind  *Kind
+	// Timeout bounds a call beside the kind's deadline; 0 for none.
+	Timeout time.Duration
+	// MaxAttempts is the most targets that a call is sent to; 0 for the usual.
+	MaxAttempts int
+	Line        RuleLine
+}
+
+// RoutePart is one service's part of a route.
+type RoutePart struct {
 	Service *Service
-	Kind    *Kind
-	Line    RuleLine
+	// Weight is at least 0; the weights of a route are not all 0.
+	Weight float64
 }
--- a/pkg/tarragonwell/rules/matcher.go
+++ b/pkg/tarragonwell/rules/matcher.go
@@ -3,6 +3,8 @@
 package rules
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -13,20 +15,50 @@
 type Matcher struct {
 	// byPath holds the routes of each path prefix.
 	byPath map[string][]*tarragonwell.Route
+	// byHost holds the routes of each host, longest prefix first.
+	byHost map[string][]*tarragonwell.Route
 }
 
 // NewMatcher indexes the routes of a rules file.
 func NewMatcher(routes []*tarragonwell.Route) *Matcher {
 	m := &Matcher{
 		byPath: map[string][]*tarragonwell.Route{},
+		byHost: map[string][]*tarragonwell.Route{},
 	}
 	for _, r := range routes {
+		if r.Host != "" {
+			h := strings.ToLower(r.Host)
+			m.byHost[h] = append(m.byHost[h], r)
+			continue
+		}
 		p := strings.TrimSuffix(r.Path, "/")
 		m.byPath[p] = append(m.byPath[p], r)
 	}
+	for _, list := range m.byHost {
+		slices.SortStableFunc(list, func(a, b *tarragonwell.Route) int {
+			return cmp.Compare(len(b.Path), len(a.Path))
+		})
+	}
 	return m
 }
 
+// MatchHost returns the route of a host with the longest literal prefix of the
+// path, or else what Match returns.
+func (m *Matcher) MatchHost(host, method, path string) *tarragonwell.Route {
+	for _, r := range m.byHost[strings.ToLower(bareHost(host))] {
+		if strings.HasPrefix(path, r.Path) && (r.Method == "" || r.Method == method) {
+			return r
+		}
+	}
+	return m.Match(method, path)
+}
+
+// bareHost cuts the port off.
+func bareHost(host string) string {
+	bare, _, _ := strings.Cut(host, ":")
+	return bare
+}
+
 // Match returns the route with the longest path prefix; among equals, one that
 // names the method. It returns nil where no route fits.
 func (m *Matcher) Match(method, path string) *tarragonwell.Route {
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -20,15 +20,19 @@
 
 // usable lists the targets that may take a call of the waiter's kind. A call
 // that has tried some goes to another one, if need be outside of the kind's
-// share; where nothing is left, the exclusions and ejections do not count.
+// share; where nothing is left, the exclusions and ejections do not count, and
+// at last not even that a target's entry is gone.
 func (s *Scheduler) usable(now time.Time, w *admission.Waiter) []*tarragonwell.TargetState {
 	fresh := func(t *tarragonwell.TargetState) bool {
-		return !ejected(now, t) && !suspect(now, t) && !slices.Contains(w.Exclude, t.Address)
+		return !t.Lapsed && !ejected(now, t) && !suspect(now, t) && !slices.Contains(w.Exclude, t.ID)
 	}
 	s.filter(func(t *tarragonwell.TargetState) bool { return s.mayTake(now, t, w.Kind) && fresh(t) })
 	if len(s.eligible) == 0 && len(w.Exclude) > 0 {
 		s.filter(func(t *tarragonwell.TargetState) bool { return !t.Leaving(now) && fresh(t) })
 	}
+	if len(s.eligible) == 0 {
+		s.filter(func(t *tarragonwell.TargetState) bool { return s.mayTake(now, t, w.Kind) && !t.Lapsed })
+	}
 	if len(s.eligible) == 0 {
 		s.filter(func(t *tarragonwell.TargetState) bool { return s.mayTake(now, t, w.Kind) })
 	}
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -20,6 +20,8 @@
 	slowdownSmoothing = 0.25
 	othersSmoothing   = 0.05
 	usualSmoothing    = 0.15
+	// percent is the unit of reports of slowness.
+	percent = 100
 	// maxObservedSlowdown bounds what one call can say.
 	maxObservedSlowdown = 50
 )
@@ -41,6 +43,7 @@
 
 // Release gives back what a Grant gave.
 type Release struct {
+	// Target is the target's ID.
 	Target string
 	// Join is the grant's.
 	Join    uint64
@@ -85,7 +88,7 @@
 		t.InFlightLong--
 	}
 	if r.Load != nil {
-		s.TakeLoad(now, t.Address, *r.Load)
+		s.TakeLoad(now, t.ID, *r.Load)
 	}
 	switch r.End {
 	case EndAnswered:
@@ -149,11 +152,15 @@
 }
 
 // TakeLoad takes in a target's own report, from an answer or a probe.
-func (s *Scheduler) TakeLoad(now time.Time, address string, l tarragonwell.LoadReport) {
-	t := s.find(address)
+func (s *Scheduler) TakeLoad(now time.Time, id string, l tarragonwell.LoadReport) {
+	t := s.find(id)
 	if t == nil {
 		return
 	}
+	if l.Slowness > 0 {
+		t.Slowness = float64(l.Slowness) / percent
+		s.meanSlowness = smooth(s.meanSlowness, t.Slowness, othersSmoothing)
+	}
 	t.Others = math.Max(0, float64(l.Total()-t.InFlight))
 	t.ReportedAt = now
 	t.UsualOthers = smooth(t.UsualOthers, t.Others, usualSmoothing)
@@ -161,8 +168,8 @@
 }
 
 // CountProbe counts a probe in the target's state.
-func (s *Scheduler) CountProbe(address string) {
-	if t := s.find(address); t != nil {
+func (s *Scheduler) CountProbe(id string) {
+	if t := s.find(id); t != nil {
 		t.Probes++
 	}
 }
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
@@ -18,16 +20,21 @@
 	// Sharers is the number of instances that serve now, as far as is known; at
 	// least 1. It guides preference only.
 	Sharers int
+	// Instances is the highest known number of instances, by which the fleet's
+	// budgets are divided; 0 counts as 1.
+	Instances int
 }
 
 // Scheduler holds what one instance knows of one service.
 type Scheduler struct {
 	options Options
-	// targets is ordered by address.
+	// targets is ordered by ID.
 	targets []*tarragonwell.TargetState
 	queue   admission.Queue
 	limiter admission.Limiter
 	retries admission.RetryBudget
+	// surveys bounds the questions to targets, within the probe budget.
+	surveys *rate.Limiter
 	kinds   map[string]*kindStats
 	// inFlight is the sum over all targets, those that left included.
 	inFlight int
@@ -35,6 +42,8 @@
 	inFlightLong int
 	shortLatency time.Duration
 	meanOthers   float64
+	// meanSlowness is over all reports; 0 before the first.
+	meanSlowness float64
 	// shortDemand is what long work makes room for.
 	shortDemand demandMeter
 	// grants measures the rate of grants while calls wait.
@@ -52,7 +61,7 @@
 	ID       uint64
 	Kind     *tarragonwell.Kind
 	Deadline time.Time
-	// Exclude lists targets that the call has tried.
+	// Exclude lists the IDs of targets that the call has tried.
 	Exclude []string
 	// Retry marks a further attempt, which the retry budget must allow.
 	Retry bool
@@ -63,7 +72,8 @@
 
 // Grant gives a waiting or new call a target.
 type Grant struct {
-	ID     uint64
+	ID uint64
+	// Target is the target's ID.
 	Target string
 	// Join is the target's, for the Release.
 	Join uint64
@@ -100,20 +110,29 @@
 	s := &Scheduler{
 		options: o,
 		kinds:   map[string]*kindStats{},
+		surveys: rate.NewLimiter(0, 0),
 	}
-	s.retries.Ratio = o.Service.RetryRatio
+	s.configureBudgets()
 	return s
 }
 
+// configureBudgets sets the instance's part of the fleet's budgets.
+func (s *Scheduler) configureBudgets() {
+	service := s.options.Service
+	s.retries.Ratio = service.RetryRatio
+	s.retries.Slack = service.RetrySlack / float64(max(1, s.options.Instances))
+	s.configureSurveys()
+}
+
 // Configure takes in a changed rule or a new count of instances.
 func (s *Scheduler) Configure(o Options) {
 	if o.Chooser == nil {
 		o.Chooser = s.options.Chooser
 	}
 	s.options = o
-	s.retries.Ratio = o.Service.RetryRatio
+	s.configureBudgets()
 	for _, t := range s.targets {
-		t.Slots = o.Service.Slots
+		t.Slots = s.slotsOf(t)
 	}
 }
 
@@ -256,7 +275,7 @@
 	s.begin(now, usable[i], w.Kind)
 	return &Grant{
 		ID:         w.ID,
-		Target:     usable[i].Address,
+		Target:     usable[i].ID,
 		Join:       usable[i].Join,
 		HedgeAfter: s.stats(w.Kind).hedgeDelay(),
 	}
@@ -269,5 +288,6 @@
 		MeanOthers:   s.meanOthers,
 		Ramp:         s.options.Service.Ramp,
 		Entitled:     !w.Spare && s.entitled(w.Kind),
+		MeanSlowness: s.meanSlowness,
 	}
 }
--- a/pkg/tarragonwell/scheduling/suspects.go
+++ b/pkg/tarragonwell/scheduling/suspects.go
@@ -24,7 +24,7 @@
 		failing := now.Before(t.EjectedUntil)
 		if (silent || failing) && now.Sub(t.ToldSuspect) > suspectLife/2 {
 			t.ToldSuspect = now
-			out = append(out, t.Address)
+			out = append(out, t.ID)
 		}
 	}
 	return out
@@ -36,8 +36,8 @@
 }
 
 // MarkSuspect takes in a peer's word that a target has fallen silent or fails.
-func (s *Scheduler) MarkSuspect(now time.Time, address string, until time.Time) {
-	t := s.find(address)
+func (s *Scheduler) MarkSuspect(now time.Time, id string, until time.Time) {
+	t := s.find(id)
 	if t == nil || s.suspectShare(now) > maxSuspectShare {
 		return
 	}
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -11,46 +11,72 @@
 )
 
 // SetTargets takes in the platform's list of the service's targets and returns
-// the addresses that are new and those that are gone.
-func (s *Scheduler) SetTargets(now time.Time, list []tarragonwell.ListedTarget) (joined, left []string) {
+// the targets that are new and the IDs of those that are gone. A target that
+// began anew, or moved, under its ID is both.
+func (s *Scheduler) SetTargets(now time.Time, list []tarragonwell.ListedTarget) (joined []tarragonwell.ListedTarget, left []string) {
 	listed := map[string]tarragonwell.ListedTarget{}
 	for _, l := range list {
-		listed[l.Address] = l
+		listed[idOf(l)] = l
 	}
 	first := len(s.targets) == 0
 	s.targets = slices.DeleteFunc(s.targets, func(t *tarragonwell.TargetState) bool {
-		_, keep := listed[t.Address]
+		l, keep := listed[t.ID]
+		keep = keep && l.Address == t.Address && l.Born == t.Born
 		if !keep {
-			left = append(left, t.Address)
+			left = append(left, t.ID)
 		}
 		return !keep
 	})
 	for _, l := range list {
-		if s.find(l.Address) == nil {
-			s.join(now, l, first)
-			joined = append(joined, l.Address)
+		l.ID = idOf(l)
+		t := s.find(l.ID)
+		if t == nil {
+			t = s.join(now, l, first)
+			joined = append(joined, l)
 		}
-		s.find(l.Address).ListedLeaving = l.Leaving
+		t.ListedLeaving = l.Leaving
+		t.Lapsed = l.Lapsed
+		t.ColdUntil = now.Add(l.Cold)
 	}
 	s.rank()
+	s.configureSurveys()
 	return joined, left
 }
 
+func idOf(l tarragonwell.ListedTarget) string {
+	if l.ID == "" {
+		return l.Address
+	}
+	return l.ID
+}
+
 // join adds a target. At the start of the instance all targets are taken as
 // warm, for the rest of the fleet has used them before.
-func (s *Scheduler) join(now time.Time, l tarragonwell.ListedTarget, warm bool) {
+func (s *Scheduler) join(now time.Time, l tarragonwell.ListedTarget, warm bool) *tarragonwell.TargetState {
 	s.joins++
 	t := &tarragonwell.TargetState{
-		Address:    l.Address,
-		Join:       s.joins,
-		DataCenter: l.DataCenter,
-		Local:      l.DataCenter == s.options.DataCenter,
-		Slots:      s.options.Service.Slots,
+		ID:          l.ID,
+		Address:     l.Address,
+		Born:        l.Born,
+		Join:        s.joins,
+		DataCenter:  l.DataCenter,
+		Local:       l.DataCenter == s.options.DataCenter,
+		ListedSlots: l.Slots,
 	}
+	t.Slots = s.slotsOf(t)
 	if !warm {
 		t.RampFrom = now
 	}
 	s.targets = append(s.targets, t)
+	return t
+}
+
+// slotsOf is what the list says of a target, else what the rules say.
+func (s *Scheduler) slotsOf(t *tarragonwell.TargetState) int {
+	if t.ListedSlots > 0 {
+		return t.ListedSlots
+	}
+	return max(1, s.options.Service.Slots)
 }
 
 // rank orders the targets for long work by rendezvous hashing, which moves few
@@ -58,7 +84,7 @@
 func (s *Scheduler) rank() {
 	byHash := slices.Clone(s.targets)
 	weight := func(t *tarragonwell.TargetState) uint64 {
-		return xxhash.Sum64String(s.options.Service.Name + " " + t.Address)
+		return xxhash.Sum64String(s.options.Service.Name + " " + t.ID)
 	}
 	slices.SortFunc(byHash, func(a, b *tarragonwell.TargetState) int {
 		return cmp.Compare(weight(a), weight(b))
@@ -67,14 +93,14 @@
 		t.LongRank = i
 	}
 	slices.SortFunc(s.targets, func(a, b *tarragonwell.TargetState) int {
-		return cmp.Compare(a.Address, b.Address)
+		return cmp.Compare(a.ID, b.ID)
 	})
 }
 
 // MarkLeaving takes in the word of a target or peer that a target leaves. It
 // reports whether this is news.
-func (s *Scheduler) MarkLeaving(now time.Time, address string, until time.Time) bool {
-	t := s.find(address)
+func (s *Scheduler) MarkLeaving(now time.Time, id string, until time.Time) bool {
+	t := s.find(id)
 	if t == nil {
 		return false
 	}
@@ -87,7 +113,11 @@
 
 // slots counts the slots of all targets.
 func (s *Scheduler) slots() int {
-	return len(s.targets) * s.options.Service.Slots
+	n := 0
+	for _, t := range s.targets {
+		n += t.Slots
+	}
+	return n
 }
 
 // Targets returns the states, for reports.
@@ -95,9 +125,9 @@
 	return s.targets
 }
 
-func (s *Scheduler) find(address string) *tarragonwell.TargetState {
+func (s *Scheduler) find(id string) *tarragonwell.TargetState {
 	for _, t := range s.targets {
-		if t.Address == address {
+		if t.ID == id {
 			return t
 		}
 	}
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -2,35 +2,14 @@
 
 import "time"
 
-// ListedTarget is one entry of the platform's lagging list.
-type ListedTarget struct {
-	Service    string
-	Address    string
-	DataCenter string
-	Leaving    bool
-}
-
-// ListedInstance is an instance of tarragonwell on the platform's list.
-type ListedInstance struct {
-	// Address is for callers.
-	Address string
-	// PeerAddress is for other instances.
-	PeerAddress string
-	DataCenter  string
-	Leaving     bool
-}
-
-// InstanceList is one reading of the platform's list.
-type InstanceList struct {
-	Revision  uint64
-	Targets   []ListedTarget
-	Instances []ListedInstance
-}
-
 // TargetState is what an instance knows of one target. The service's task owns
 // it; the choosers only read it.
 type TargetState struct {
+	// ID names the target, also after its address went to another.
+	ID      string
 	Address string
+	// Born tells the lives of one ID apart.
+	Born uint64
 	// Join tells the times apart that a target has joined.
 	Join       uint64
 	DataCenter string
@@ -38,6 +17,8 @@
 	Local bool
 	// Slots is at least 1.
 	Slots int
+	// ListedSlots is what the platform's list says, or 0.
+	ListedSlots int
 	// InFlight counts the instance's own calls, long ones included.
 	InFlight int
 	// InFlightLong is at most InFlight.
@@ -47,6 +28,9 @@
 	ReportedAt time.Time
 	// UsualOthers is Others smoothed over many reports.
 	UsualOthers float64
+	// Slowness is the latest report of how long work takes at the target, in
+	// parts of the usual; 0 where it did not tell.
+	Slowness float64
 	// Latency is the smoothed time of short calls; 0 before the first.
 	Latency time.Duration
 	// Slowdown is the smoothed ratio of latency to the kind's mean over all
@@ -70,10 +54,17 @@
 	Ejections int
 	// RampFrom is when the target joined or came back.
 	RampFrom time.Time
+	// ColdUntil is when the target has warmed up, by the platform's word.
+	ColdUntil time.Time
+	// AskedAt is when the target last answered a question for its load.
+	AskedAt time.Time
 	// LeavingUntil is how long a target's own word, or a peer's, is believed.
 	LeavingUntil time.Time
 	// ListedLeaving is the platform's word.
 	ListedLeaving bool
+	// Lapsed says that the entry is gone from the platform's list, though not for
+	// long enough to be certain that the target is. It is a last resort.
+	Lapsed bool
 	// LongRank orders the targets of a service for long work, from 0. It is the
 	// same on every instance with the same list.
 	LongRank int
