Log each decision on a call, without blocking

Cause: nothing but outcome unknown was logged of a call; a failure could not be traced from its id.

Change: a writer task bounds the bytes a second, lets urgent lines go first and counts what it drops; lines for placing, refusing, failed attempts, the end of a call and requests turned away, each with the inputs of the decision.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -19,9 +19,6 @@
 
 // tell writes the end of a call.
 func (s *Server) tell(w http.ResponseWriter, call *tarragonwell.Call, r tarragonwell.Result) {
-	if r.Outcome == tarragonwell.OutcomeUnknown {
-		s.options.Common.Log.Warn("outcome unknown", "call", call.ID, "kind", call.Route.Kind.Name, "reason", r.Reason)
-	}
 	if r.Answer == nil {
 		s.write(w, &tarragonwell.Refusal{
 			Outcome:    r.Outcome,
--- a/internal/caller/dialect.go
+++ b/internal/caller/dialect.go
@@ -38,6 +38,11 @@
 	return nil
 }
 
+// CallID implements tarragonwell.CallerDialect. Callers name no calls.
+func (Dialect) CallID(map[string][]string) string {
+	return ""
+}
+
 func retriesLeft(h http.Header) int {
 	n, err := strconv.Atoi(h.Get(target.HeaderRetriesLeft))
 	if err != nil {
--- /dev/null
+++ b/internal/caller/log.go
@@ -0,0 +1,38 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// logEnd tells how a call ended. The lines of calls that went well give way to
+// others where lines are many.
+func (s *Server) logEnd(r *http.Request, call *tarragonwell.Call, routing *Routing, result *tarragonwell.Result, begin time.Time) {
+	c := s.options.Common
+	log := c.CallLog().Info
+	status := 0
+	if result.Answer != nil {
+		status = result.Answer.Status
+	}
+	if result.Outcome != tarragonwell.OutcomeComplete || status >= http.StatusInternalServerError {
+		log = c.Log.Warn
+	}
+	now := c.Clock.Now()
+	log("call-ended", "call", call.ID, "kind", call.Route.Kind.Name, "service", call.Service.Name,
+		"path", call.Path, "rules-revision", routing.Rules.Version.Revision,
+		"outcome", result.Outcome.String(), "status", status, "reason", result.Reason,
+		"caller-left", r.Context().Err() != nil, "retry-after-ms", result.RetryAfter.Milliseconds(),
+		"took-ms", now.Sub(begin).Milliseconds(), "left-ms", call.Deadline.Sub(now).Milliseconds())
+}
+
+// logTurnedAway tells of a request that did not become a call.
+func (s *Server) logTurnedAway(r *http.Request, reason string) {
+	revision := uint64(0)
+	if routing := s.options.Routing(); routing != nil {
+		revision = routing.Rules.Version.Revision
+	}
+	s.options.Common.Log.Warn("request-turned-away", "call", s.dialect.CallID(r.Header), "host", r.Host,
+		"method", r.Method, "path", r.URL.Path, "reason", reason, "rules-revision", revision)
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -132,7 +132,7 @@
 		m.outcomes[outcome].Inc()
 		m.seconds.UpdateDuration(begin)
 	}()
-	outcome = s.serve(w, r, routing, call)
+	outcome = s.serve(w, r, routing, call, begin)
 }
 
 // reserve makes room for a request's body, so that the memory for bodies stays
@@ -168,6 +168,7 @@
 // notNow refuses a request for now. One with a ticket may have been run by an
 // earlier attempt, and may be run by a later one.
 func (s *Server) notNow(w http.ResponseWriter, r *http.Request, reason string) {
+	s.logTurnedAway(r, reason)
 	refusal := &tarragonwell.Refusal{
 		Outcome:    tarragonwell.OutcomeNotRun,
 		Reason:     reason,
@@ -198,6 +199,7 @@
 // refuse ends a request that can't be passed on. One with a ticket is settled
 // by its home: not-run is told only once the ticket can never be run.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, cause tarragonwell.RefusalCause, reason string) {
+	s.logTurnedAway(r, reason)
 	text := s.ticketOf(r)
 	if text == "" {
 		s.writeRefusal(w, cause, reason, 0)
@@ -269,7 +271,7 @@
 }
 
 // serve brings the call to its end and tells the caller.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, routing *Routing, call *tarragonwell.Call) tarragonwell.Outcome {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, routing *Routing, call *tarragonwell.Call, begin time.Time) tarragonwell.Outcome {
 	if !call.Route.Kind.Repeatable && s.options.Operations != nil {
 		if text := r.Header.Get(HeaderTicket); text != "" {
 			r.Header.Del(HeaderTicket)
@@ -280,6 +282,7 @@
 		}
 	}
 	result := routing.Dispatchers[call.Service.Name].Dispatch(r.Context(), call)
+	s.logEnd(r, call, routing, &result, begin)
 	s.tell(w, call, result)
 	return result.Outcome
 }
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/instance"
+	"github.com/tarragonwell/tarragonwell/internal/logs"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/platform"
 )
@@ -17,6 +18,21 @@
 	Settings string `help:"The instance's settings file." required:"" type:"path" placeholder:"FILE"`
 }
 
+// runInBackground runs a task until the returned function is called, which waits
+// for its end.
+func runInBackground(run func(context.Context)) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // surroundings are what the settings say that the instance runs among.
 func surroundings(s *settingsfile.Settings) instance.Surroundings {
 	if s.PlatformKind == settingsfile.PlatformPrepared {
@@ -35,14 +51,21 @@
 	if err != nil {
 		return errors.Join(errUsage, err)
 	}
-	l, err := common.NewLogger(o.Err, s.LogLevel, s.Name)
+	lines := logs.NewWriter(o.Out, logs.DefaultBytesPerSecond)
+	l, err := common.NewLogger(lines.Urgent(), s.LogLevel, s.Name)
+	if err != nil {
+		return err
+	}
+	calls, err := common.NewLogger(lines.Routine(), s.LogLevel, s.Name)
 	if err != nil {
 		return err
 	}
+	defer runInBackground(lines.Run)()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	l.Info("starting", "callers", s.Callers, "peers", s.Peers, "operators", s.Operators, "version", version())
-	if err := instance.New(s, l, surroundings(s)).Run(ctx); err != nil {
+	if err := instance.New(s, l, calls, surroundings(s)).Run(ctx); err != nil {
+		l.Error("failed", "error", err)
 		return err
 	}
 	l.Info("stopped")
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -16,10 +16,13 @@
 // Common is handed down from the instance to its parts.
 type Common struct {
 	Settings *settingsfile.Settings
-	Log      *log.Logger
-	Metrics  *metrics.Set
-	Audit    tarragonwell.AuditSink
-	Clock    tarragonwell.Clock
+	// Log takes lines on changes, failures and refusals.
+	Log *log.Logger
+	// Calls takes lines on calls that go well; nil for Log.
+	Calls   *log.Logger
+	Metrics *metrics.Set
+	Audit   tarragonwell.AuditSink
+	Clock   tarragonwell.Clock
 	// Incarnation is the random name of this life of the process.
 	Incarnation tarragonwell.Incarnation
 	Started     time.Time
@@ -53,6 +56,14 @@
 	return logger.With("instance", instance), nil
 }
 
+// CallLog takes lines on calls that go well.
+func (c *Common) CallLog() *log.Logger {
+	if c.Calls == nil {
+		return c.Log
+	}
+	return c.Calls
+}
+
 // Change records a change in the audit trail and the log.
 func (c *Common) Change(r tarragonwell.AuditRecord) {
 	r.Time = c.Clock.Now()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -80,11 +80,13 @@
 	readiness net.Listener
 }
 
-// New returns an instance that isn't running yet.
-func New(s *settingsfile.Settings, l *log.Logger, around Surroundings) *Instance {
+// New returns an instance that isn't running yet. The lines of calls that go
+// well go to calls, all others to l.
+func New(s *settingsfile.Settings, l, calls *log.Logger, around Surroundings) *Instance {
 	c := &common.Common{
 		Settings: s,
 		Log:      l,
+		Calls:    calls,
 		Metrics:  metrics.NewSet(),
 		Clock:    common.SystemClock{},
 		Started:  time.Now(),
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -59,12 +59,15 @@
 	l, refusal := d.service.acquire(ctx, d.request())
 	if refusal != nil {
 		d.service.metrics.refused.Inc()
+		d.logRefused(refusal)
 		return d.refused(refusal), true
 	}
 	d.attempts++
 	d.tried = append(d.tried, l.grant.Target)
+	d.logPlaced(l, false)
 	answer, err := d.run(ctx, l)
 	if err != nil {
+		d.logAttemptFailed(l.grant.Target, err)
 		d.note(err)
 		if d.mayGoOn(ctx, err) {
 			d.service.metrics.retries.Inc()
--- /dev/null
+++ b/internal/service/log.go
@@ -0,0 +1,32 @@
+package service
+
+import (
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+// logPlaced tells which target a call goes to, and by what news.
+func (d *dispatch) logPlaced(l *lease, hedge bool) {
+	b := l.grant.Basis
+	d.service.options.Common.CallLog().Info("call-placed",
+		"call", d.call.ID, "attempt", d.attempts, "kind", d.call.Route.Kind.Name, "service", d.service.options.Rule.Name,
+		"target", l.grant.Target, "hedge", hedge, "candidates", b.Candidates, "own-calls", b.InFlight,
+		"occupancy", b.Occupancy, "slowness", b.Slowness, "news-age-ms", b.ReportAge.Milliseconds())
+}
+
+// logAttemptFailed tells how an attempt failed and how far it had come.
+func (d *dispatch) logAttemptFailed(target string, e *tarragonwell.ExchangeError) {
+	d.service.options.Common.Log.Warn("attempt-failed",
+		"call", d.call.ID, "attempt", d.attempts, "service", d.service.options.Rule.Name, "target", target,
+		"stage", e.Stage.String(), "reason", e.Reason, "error", e.Err,
+		"left-ms", d.call.Deadline.Sub(d.service.options.Common.Clock.Now()).Milliseconds())
+}
+
+// logRefused tells which limit refused a call, and how busy the service was.
+func (d *dispatch) logRefused(r *scheduling.Refusal) {
+	d.service.options.Common.Log.Warn("call-refused",
+		"call", d.call.ID, "attempt", d.attempts, "kind", d.call.Route.Kind.Name, "service", d.service.options.Rule.Name,
+		"reason", r.Reason, "in-flight", r.State.InFlight, "limit", r.State.Limit, "waiting", r.State.Waiting,
+		"estimated-wait-ms", r.State.Wait.Milliseconds(), "retry-after-ms", r.RetryAfter.Milliseconds(),
+		"left-ms", d.call.Deadline.Sub(d.service.options.Common.Clock.Now()).Milliseconds())
+}
--- a/internal/service/race.go
+++ b/internal/service/race.go
@@ -80,6 +80,7 @@
 	d.repeated = true
 	d.attempts++
 	d.tried = append(d.tried, l.grant.Target)
+	d.logPlaced(l, true)
 	r.launch(ctx, l, 0)
 }
 
--- a/pkg/tarragonwell/call.go
+++ b/pkg/tarragonwell/call.go
@@ -171,6 +171,18 @@
 	StageSent
 )
 
+// String returns the form used in logs.
+func (s Stage) String() string {
+	switch s {
+	case StageNotSent:
+		return "not-sent"
+	case StageRefused:
+		return "refused"
+	default:
+		return "sent"
+	}
+}
+
 // ExchangeError is a failed exchange with a target.
 type ExchangeError struct {
 	Stage Stage
--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -44,6 +44,8 @@
 	// the header what is not for targets. The call's kind and its bound on the
 	// deadline are set before. It fails with a *RequestError.
 	ReadCall(now time.Time, client string, c *Call) error
+	// CallID returns the id that a request brings, or "".
+	CallID(header map[string][]string) string
 	// WriteRefusal encodes the end of a call that is not a target's answer.
 	WriteRefusal(r *Refusal) EncodedAnswer
 	// WriteAnswer turns the header of a target's answer into what the caller is
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -79,6 +79,20 @@
 	Join uint64
 	// HedgeAfter is the time after which a second target may be tried.
 	HedgeAfter time.Duration
+	Basis      Basis
+}
+
+// Basis is what a target was chosen by, for logs.
+type Basis struct {
+	// Candidates is the number of targets that could have been chosen.
+	Candidates int
+	// InFlight is the instance's own calls at the target, this one included.
+	InFlight int
+	// Occupancy estimates all calls at the target, as Slowness does the time that
+	// work takes there in parts of the usual, by a report of the age ReportAge.
+	Occupancy float64
+	Slowness  float64
+	ReportAge time.Duration
 }
 
 // Refusal ends a call before it was sent.
@@ -87,6 +101,16 @@
 	Reason string
 	// RetryAfter is when the service may have room.
 	RetryAfter time.Duration
+	State      State
+}
+
+// State is how busy the service was when a call was refused, for logs.
+type State struct {
+	InFlight int
+	Limit    float64
+	Waiting  int
+	// Wait is the estimated wait of a new call.
+	Wait time.Duration
 }
 
 // Reasons told to callers.
@@ -138,6 +162,10 @@
 
 // Acquire decides on a call at once, or lets it wait.
 func (s *Scheduler) Acquire(now time.Time, r Request) Decision {
+	return s.stated(r.Kind, s.decide(now, r))
+}
+
+func (s *Scheduler) decide(now time.Time, r Request) Decision {
 	if !now.Before(r.Deadline) {
 		return refuse(r.ID, ReasonDeadline, 0)
 	}
@@ -213,7 +241,7 @@
 	}
 	var out []Decision
 	for _, w := range s.queue.Remove(func(w *admission.Waiter) bool { return s.tooLate(now, w) }) {
-		out = append(out, refuse(w.ID, ReasonDeadline, s.estimatedWait(w.Kind)))
+		out = append(out, s.stated(w.Kind, refuse(w.ID, ReasonDeadline, s.estimatedWait(w.Kind))))
 	}
 	s.queue.Serve(func(w *admission.Waiter) bool {
 		g := s.tryGrant(now, w)
@@ -274,6 +302,7 @@
 	}
 	s.begin(now, usable[i], w.Kind)
 	return &Grant{
+		Basis:      s.basis(now, usable[i], len(usable)),
 		ID:         w.ID,
 		Target:     usable[i].ID,
 		Join:       usable[i].Join,
@@ -281,6 +310,33 @@
 	}
 }
 
+func (s *Scheduler) basis(now time.Time, t *tarragonwell.TargetState, candidates int) Basis {
+	b := Basis{
+		Candidates: candidates,
+		InFlight:   t.InFlight,
+		Occupancy:  float64(t.InFlight) + t.Others,
+		Slowness:   t.Slowness,
+		ReportAge:  -1,
+	}
+	if !t.ReportedAt.IsZero() {
+		b.ReportAge = now.Sub(t.ReportedAt)
+	}
+	return b
+}
+
+// stated adds the state of the service to a refused decision.
+func (s *Scheduler) stated(k *tarragonwell.Kind, d Decision) Decision {
+	if d.Refusal != nil {
+		d.Refusal.State = State{
+			InFlight: s.inFlight,
+			Limit:    s.Limit(),
+			Waiting:  s.queue.Len(),
+			Wait:     s.estimatedWait(k),
+		}
+	}
+	return d
+}
+
 func (s *Scheduler) choiceInput(w *admission.Waiter) tarragonwell.ChoiceInput {
 	return tarragonwell.ChoiceInput{
 		Kind:         w.Kind,
