Fill targets to a share at the crest; serve callers that are late already last

Targets were given up to 1.4 of their slots by news that had faded.

Change: a service may name the share of its slots up to which its targets are filled; calls that can't meet their objective any more, seen by the time that their callers bring, have less of it, wait in a class of their own and go last; a call waits while it can still meet its objective, then it is refused with a time to come back; waiting calls have targets asked on their behalf, within the probe budget.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -64,7 +64,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	l.Info("starting", "callers", s.Callers, "peers", s.Peers, "operators", s.Operators, "version", version())
-	if err := instance.New(s, l, calls, surroundings(s)).Run(ctx); err != nil {
+	i := instance.New(s, l, calls, surroundings(s))
+	r := &reloader{
+		path:     c.Settings,
+		instance: i,
+		log:      l,
+	}
+	defer runInBackground(r.run)()
+	if err := i.Run(ctx); err != nil {
 		l.Error("failed", "error", err)
 		return err
 	}
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"golang.org/x/sys/unix"
 
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -36,6 +37,19 @@
 	return time.Now()
 }
 
+// Uptime implements tarragonwell.Clock.
+func (SystemClock) Uptime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The clock is part of every kernel in use; without it, suspensions of the
+		// machine go unnoticed, as pauses of the process do not.
+		return time.Since(processStart)
+	}
+	return time.Duration(t.Nano())
+}
+
+var processStart = time.Now()
+
 // NewRandom returns a random source for one task.
 func NewRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -70,6 +70,11 @@
 	addresses []string
 }
 
+// settingsSeeds replaces the addresses in the settings.
+type settingsSeeds struct {
+	addresses []string
+}
+
 // contactNews says that the platform has answered, and what it had published by
 // then.
 type contactNews struct {
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -95,6 +95,9 @@
 	// seen is what the instance has taken in of what the platform publishes.
 	seen     tarragonwell.Position
 	contacts contacts
+	// seeds are the settings', listed the platform's; the view has both.
+	seeds  []string
+	listed []string
 }
 
 // New returns peers that aren't running yet.
@@ -140,6 +143,13 @@
 	})
 }
 
+// SetSeeds replaces the addresses in the settings.
+func (p *Peers) SetSeeds(addresses []string) {
+	p.mailbox.Post(settingsSeeds{
+		addresses: addresses,
+	})
+}
+
 // Contact says that the platform has answered, and what it had published by
 // then.
 func (p *Peers) Contact(position tarragonwell.Position) {
@@ -218,7 +228,8 @@
 		State:       tarragonwell.MemberStarting,
 		Heartbeat:   1,
 	}
-	st.view.Seeds = c.Settings.Seeds
+	st.seeds = c.Settings.Seeds
+	st.view.Seeds = st.seeds
 	return st
 }
 
@@ -242,7 +253,11 @@
 		st.contacts.settle(st.seen)
 		return m.push
 	case seedsNews:
-		st.view.Seeds = append(append([]string(nil), p.options.Common.Settings.Seeds...), m.addresses...)
+		st.view.Seeds = append(append([]string(nil), st.seeds...), m.addresses...)
+		st.listed = m.addresses
+	case settingsSeeds:
+		st.seeds = m.addresses
+		st.view.Seeds = append(append([]string(nil), m.addresses...), st.listed...)
 	case contactNews:
 		st.contacts.hear(st.seen, word{
 			at:       now,
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -86,10 +86,11 @@
 
 func (d *dispatch) request() scheduling.Request {
 	return scheduling.Request{
-		Kind:     d.call.Route.Kind,
-		Deadline: d.call.Deadline,
-		Exclude:  d.tried,
-		Retry:    d.attempts > 0,
+		Kind:       d.call.Route.Kind,
+		Deadline:   d.call.Deadline,
+		CallerLeft: d.call.CallerLeft,
+		Exclude:    d.tried,
+		Retry:      d.attempts > 0,
 	}
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -36,6 +36,13 @@
 	return time.Now().Add(time.Duration(c.ahead.Load()))
 }
 
+// Uptime jumps with the clock.
+func (c *jumpingClock) Uptime() time.Duration {
+	return time.Since(testStart) + time.Duration(c.ahead.Load())
+}
+
+var testStart = time.Now()
+
 type noAudit struct{}
 
 func (noAudit) Record(tarragonwell.AuditRecord) {}
--- a/internal/service/survey.go
+++ b/internal/service/survey.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// surveyForWaiting asks on behalf of the calls that wait. Nobody waits for the
+// answers: they are taken in as they come.
+func (s *Service) surveyForWaiting(ctx context.Context, now time.Time, st *state) {
+	for _, id := range st.scheduler.SurveyForWaiting(now) {
+		go st.handles[id].target.Ask(ctx)
+	}
+}
+
 // surveyed returns the targets to be asked.
 func (st *state) surveyed(now time.Time, r scheduling.Request) []*target.Target {
 	var out []*target.Target
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -88,8 +88,10 @@
 	waiting   map[uint64]chan<- decision
 	// told is when a target's word that it leaves was last passed on.
 	told map[string]time.Time
-	// turn is when the task last ran.
-	turn time.Time
+	// turn is when the task last ran, and uptime the same by a clock that goes on
+	// while the machine is suspended.
+	turn   time.Time
+	uptime time.Duration
 	// scanned is when silent targets were last looked for.
 	scanned time.Time
 }
@@ -178,12 +180,14 @@
 			s.handle(ctx, st, &targets, m)
 			if st.scheduler.Waiting() > 0 {
 				s.poll(st)
+				s.surveyForWaiting(ctx, st.turn, st)
 				timer.Reset(pollInterval)
 			}
 		case <-timer.C:
 			s.noticePause(st)
 			s.poll(st)
 			if st.scheduler.Waiting() > 0 {
+				s.surveyForWaiting(ctx, st.turn, st)
 				timer.Reset(pollInterval)
 			}
 		}
@@ -194,8 +198,10 @@
 // targets are confirmed, it would act on an old view of the world.
 func (s *Service) noticePause(st *state) {
 	now := s.options.Common.Clock.Now()
-	gap := now.Sub(st.turn)
+	uptime := s.options.Common.Clock.Uptime()
+	gap := uptime - st.uptime
 	st.turn = now
+	st.uptime = uptime
 	if gap <= pauseLimit || !control.Holds(control.PauseCheck) {
 		return
 	}
@@ -215,6 +221,7 @@
 		waiting:   map[uint64]chan<- decision{},
 		told:      map[string]time.Time{},
 		turn:      s.options.Common.Clock.Now(),
+		uptime:    s.options.Common.Clock.Uptime(),
 	}
 	chooser := policy.New(st.rule.Policy, common.NewRandom())
 	st.prober, _ = chooser.(tarragonwell.Prober)
--- a/pkg/tarragonwell/admission/queue.go
+++ b/pkg/tarragonwell/admission/queue.go
@@ -21,6 +21,38 @@
 	Exclude []string
 	// Spare marks a call that may only use what others leave, as a hedge.
 	Spare bool
+	// GiveUp is when waiting is of no more use; zero for the deadline.
+	GiveUp time.Time
+	// Late says that the call can't meet its objective any more. It is served
+	// after those that can.
+	Late bool
+	// CallerLeft is how long the caller still waited when the call came; 0 where
+	// it does not tell.
+	CallerLeft time.Duration
+}
+
+// GivesUp reports whether waiting is of no more use.
+func (w *Waiter) GivesUp(now time.Time) bool {
+	return !w.GiveUp.IsZero() && now.After(w.GiveUp)
+}
+
+// lateWeight is the weight of calls that can't meet their objective any more,
+// whatever their kind.
+const lateWeight = 0.1
+
+// class names the queue of a call.
+func (w *Waiter) class() string {
+	if w.Late {
+		return w.Kind.Name + " late"
+	}
+	return w.Kind.Name
+}
+
+func (w *Waiter) weight() float64 {
+	if w.Late {
+		return lateWeight
+	}
+	return float64(max(1, w.Kind.Weight))
 }
 
 // Queue orders waiting calls: kinds share the service by their weights, so none
@@ -45,27 +77,46 @@
 	return q.length
 }
 
-// LenOf returns the number of waiting calls of a kind.
-func (q *Queue) LenOf(kind *tarragonwell.Kind) int {
-	if k := q.find(kind.Name); k != nil {
+// LenOf returns the number of waiting calls of the same class.
+func (q *Queue) LenOf(w *Waiter) int {
+	if k := q.find(w.class()); k != nil {
 		return len(k.waiters)
 	}
 	return 0
 }
 
+// First returns the call that is served next, or nil.
+func (q *Queue) First() *Waiter {
+	var first *kindQueue
+	for _, k := range q.kinds {
+		if len(k.waiters) > 0 && (first == nil || k.virtual < first.virtual) {
+			first = k
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return first.waiters[0]
+}
+
+// Before reports whether a late call has to let others go first.
+func (q *Queue) Before(w *Waiter) bool {
+	return w.Late && q.length > 0
+}
+
 // Push adds a call. It returns false where the kind's queue is full.
 func (q *Queue) Push(w *Waiter) bool {
-	k := q.find(w.Kind.Name)
+	k := q.find(w.class())
 	if k == nil {
 		k = &kindQueue{
-			kind: w.Kind.Name,
+			kind: w.class(),
 		}
 		q.kinds = append(q.kinds, k)
 	}
 	if len(k.waiters) >= MaxQueuePerKind {
 		return false
 	}
-	k.weight = float64(max(1, w.Kind.Weight))
+	k.weight = w.weight()
 	if len(k.waiters) == 0 {
 		k.virtual = max(k.virtual, q.clock)
 	}
@@ -74,19 +125,18 @@
 	return true
 }
 
-// Ahead estimates how many grants go to other calls before a new call of the
-// kind is served.
-func (q *Queue) Ahead(kind *tarragonwell.Kind) float64 {
+// Ahead estimates how many grants go to other calls before a new call is served.
+func (q *Queue) Ahead(w *Waiter) float64 {
 	own := 0
-	total := float64(max(1, kind.Weight))
+	total := w.weight()
 	for _, k := range q.kinds {
-		if k.kind == kind.Name {
+		if k.kind == w.class() {
 			own = len(k.waiters)
 		} else if len(k.waiters) > 0 {
 			total += k.weight
 		}
 	}
-	return min(float64(q.length), float64(own)*total/float64(max(1, kind.Weight)))
+	return min(float64(q.length), float64(own)*total/w.weight())
 }
 
 // Serve offers the first call of each kind, in the order of their shares, to
--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -8,6 +8,9 @@
 // Clock tells the time.
 type Clock interface {
 	Now() time.Time
+	// Uptime counts also while the process, or the whole machine, is suspended,
+	// as Now need not.
+	Uptime() time.Duration
 }
 
 // AuditSink takes in the records of the audit trail. Record never blocks on a
@@ -91,6 +94,9 @@
 	// MeanOthers is the mean number of other instances' calls at a target, for
 	// targets that have not reported.
 	MeanOthers float64
+	// Fill is the share of its slots up to which a target is given calls; 0 for
+	// the usual.
+	Fill float64
 	// MeanSlowness is the mean that targets report, in parts of the usual; 0
 	// where none has.
 	MeanSlowness float64
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -90,6 +90,10 @@
 	// Survey is how many targets are asked for their load before a call is
 	// placed, within the probe budget; 0 for none.
 	Survey int
+	// Fill is the share of its slots up to which a target is given calls, for
+	// targets that slow down when nearly full; 0 for the usual, which is more
+	// than all.
+	Fill float64
 	// HealthPath is asked for load; empty for the usual.
 	HealthPath string
 	Ramp       time.Duration
--- /dev/null
+++ b/pkg/tarragonwell/scheduling/crest_test.go
@@ -0,0 +1,157 @@
+package scheduling
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/policy"
+)
+
+// timed is a kind with an objective, of callers that wait 3 s.
+var timed = &tarragonwell.Kind{
+	Name:       "timed",
+	Weight:     1,
+	SlotShare:  1,
+	Repeatable: true,
+	Objective:  400 * time.Millisecond,
+}
+
+// usualTime is how long calls take at targets.
+const usualTime = 150 * time.Millisecond
+
+// newFilling returns a scheduler that fills targets to a share of their slots.
+func newFilling(targets int) *Scheduler {
+	s := New(Options{
+		Service: &tarragonwell.Service{
+			Name:        "s",
+			Slots:       5,
+			RetryRatio:  0.2,
+			Fill:        0.8,
+			Survey:      4,
+			ProbeBudget: 60,
+		},
+		DataCenter: "a",
+		Chooser:    policy.New(policy.Default, rand.New(rand.NewPCG(1, 1))),
+		Sharers:    1,
+		Instances:  1,
+	})
+	s.SetTargets(start, listOf(targets))
+	return s
+}
+
+func ask(s *Scheduler, now time.Time, id uint64, left time.Duration) Decision {
+	return s.Acquire(now, Request{
+		ID:         id,
+		Kind:       timed,
+		Deadline:   now.Add(time.Second),
+		CallerLeft: left,
+	})
+}
+
+// TestCrestFillsTargetsUpToTheirShare holds the calls at targets that slow down
+// when nearly full.
+func TestCrestFillsTargetsUpToTheirShare(t *testing.T) {
+	s := newFilling(2)
+	granted := 0
+	for id := range uint64(20) {
+		if ask(s, start, id, 3*time.Second).Grant != nil {
+			granted++
+		}
+	}
+	if got, want := granted, 8; got != want {
+		t.Errorf("got %d calls at two targets of five slots, want %d", got, want)
+	}
+}
+
+// TestCrestRefusesWhatCanNotMeetItsObjective holds that a call waits while it is
+// of use, and is then told when to come back.
+func TestCrestRefusesWhatCanNotMeetItsObjective(t *testing.T) {
+	s := newFilling(1)
+	// The usual time of a call.
+	s.stats(timed).take(usualTime)
+	s.shortLatency = usualTime
+	for id := range uint64(10) {
+		ask(s, start, id, 3*time.Second)
+	}
+	if got := len(s.Poll(start.Add(timed.Objective / 2))); got != 0 {
+		t.Errorf("within the objective: got %d ends, want none", got)
+	}
+	ends := s.Poll(start.Add(timed.Objective + time.Millisecond))
+	if got, want := len(ends), 6; got != want {
+		t.Fatalf("after the objective: got %d ends, want %d", got, want)
+	}
+	for _, d := range ends {
+		if d.Refusal == nil || d.Refusal.RetryAfter <= 0 || d.Refusal.RetryAfter > time.Second {
+			t.Errorf("got %+v, want a refusal with a time to come back within a third of 3 s", d.Refusal)
+		}
+	}
+}
+
+// TestCrestServesReturningCallersAfterNewOnes holds that calls which are late
+// already take no place from calls that can still be in time.
+func TestCrestServesReturningCallersAfterNewOnes(t *testing.T) {
+	s := newFilling(1)
+	ask(s, start, 1, 3*time.Second)
+	ask(s, start, 2, 3*time.Second)
+	ask(s, start, 3, 3*time.Second)
+	if d := ask(s, start, 4, 2*time.Second); d.Grant != nil {
+		t.Error("a call that is late already took the last place")
+	}
+	if d := ask(s, start, 5, 3*time.Second); d.Grant == nil {
+		t.Errorf("a call in time got no place: %+v", d.Refusal)
+	}
+}
+
+// TestSurveysKeepToTheProbeBudget counts the questions of ten seconds at a
+// demand far above what the budget covers.
+func TestSurveysKeepToTheProbeBudget(t *testing.T) {
+	s := newFilling(10)
+	asked := 0
+	for n := range 100_000 {
+		now := start.Add(time.Duration(n) * 100 * time.Microsecond)
+		asked += len(s.Survey(now, Request{
+			Kind: timed,
+		}))
+	}
+	// Ten targets, 60 a second, ten seconds, and the burst.
+	if most := 60*10*10 + 60*10*int(surveyBurst.Seconds()); asked > most {
+		t.Errorf("asked %d times, want at most %d", asked, most)
+	}
+}
+
+// TestNoisyNeighboursLoseTheirTraffic holds that of targets with the same load
+// the one whose machine is slow at this moment gets nothing.
+func TestNoisyNeighboursLoseTheirTraffic(t *testing.T) {
+	s := newFilling(4)
+	for n, slowness := range []int{500, 100, 500, 500} {
+		s.TakeAnswer(start, listOf(4)[n].Address, tarragonwell.LoadReport{
+			Slots:    5,
+			Slowness: slowness,
+		})
+	}
+	for id := range uint64(3) {
+		d := ask(s, start.Add(time.Millisecond), id, 3*time.Second)
+		if d.Grant == nil || d.Grant.Target != "t01" {
+			t.Fatalf("got %+v, want the quiet target", d.Grant)
+		}
+	}
+}
+
+// TestLapsedTargetsAreALastResort holds that a target whose entry is gone gets
+// calls only where there is no other.
+func TestLapsedTargetsAreALastResort(t *testing.T) {
+	s := newFilling(2)
+	list := listOf(2)
+	list[0].Lapsed = true
+	s.SetTargets(start, list)
+	if d := ask(s, start, 1, 3*time.Second); d.Grant == nil || d.Grant.Target != "t01" {
+		t.Errorf("got %+v, want the listed target", d.Grant)
+	}
+	list[1].Leaving = true
+	s.SetTargets(start, list)
+	if d := ask(s, start, 2, 3*time.Second); d.Grant == nil || d.Grant.Target != "t00" {
+		t.Errorf("got %+v, want the lapsed target", d.Grant)
+	}
+}
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -34,8 +34,9 @@
 	limiter admission.Limiter
 	retries admission.RetryBudget
 	// surveys bounds the questions to targets, within the probe budget.
-	surveys *rate.Limiter
-	kinds   map[string]*kindStats
+	surveys            *rate.Limiter
+	surveyedForWaiting time.Time
+	kinds              map[string]*kindStats
 	// inFlight is the sum over all targets, those that left included.
 	inFlight int
 	// inFlightLong is the part of inFlight that is long, at most inFlight.
@@ -61,6 +62,8 @@
 	ID       uint64
 	Kind     *tarragonwell.Kind
 	Deadline time.Time
+	// CallerLeft is how long the caller still waits; 0 where it does not tell.
+	CallerLeft time.Duration
 	// Exclude lists the IDs of targets that the call has tried.
 	Exclude []string
 	// Retry marks a further attempt, which the retry budget must allow.
@@ -93,6 +96,8 @@
 	Occupancy float64
 	Slowness  float64
 	ReportAge time.Duration
+	// Late says that the call could not meet its objective any more.
+	Late bool
 }
 
 // Refusal ends a call before it was sent.
@@ -117,6 +122,7 @@
 const (
 	ReasonNoTargets = "no target of the service takes work"
 	ReasonDeadline  = "the deadline can't be met"
+	ReasonObjective = "no target gets free within the objective"
 	ReasonQueueFull = "the queue is full"
 	ReasonRetries   = "the retry budget is spent"
 	ReasonBusy      = "no target is free"
@@ -162,7 +168,9 @@
 
 // Acquire decides on a call at once, or lets it wait.
 func (s *Scheduler) Acquire(now time.Time, r Request) Decision {
-	return s.stated(r.Kind, s.decide(now, r))
+	return s.stated(&admission.Waiter{
+		Kind: r.Kind,
+	}, s.decide(now, r))
 }
 
 func (s *Scheduler) decide(now time.Time, r Request) Decision {
@@ -183,8 +191,9 @@
 		Exclude:  r.Exclude,
 		Spare:    r.NoWait,
 	}
+	s.setPatience(now, w, r.CallerLeft)
 	// Other kinds may wait for targets that this one does not need.
-	if s.queue.LenOf(r.Kind) == 0 {
+	if s.queue.LenOf(w) == 0 && (r.NoWait || !s.queue.Before(w)) {
 		if g := s.tryGrant(now, w); g != nil {
 			return Decision{
 				Grant: g,
@@ -202,12 +211,15 @@
 	if len(s.usable(now, w)) == 0 {
 		return refuse(w.ID, ReasonNoTargets, noTargetsRetryAfter)
 	}
-	wait := s.estimatedWait(w.Kind)
+	wait := s.estimatedWait(w)
 	if now.Add(wait + s.expected(w.Kind)).After(w.Deadline) {
-		return refuse(w.ID, ReasonDeadline, wait)
+		return refuse(w.ID, ReasonDeadline, s.retryAfter(now, w))
+	}
+	if !w.GiveUp.IsZero() && !now.Before(w.GiveUp) {
+		return refuse(w.ID, ReasonObjective, s.retryAfter(now, w))
 	}
 	if !s.queue.Push(w) {
-		return refuse(w.ID, ReasonQueueFull, wait)
+		return refuse(w.ID, ReasonQueueFull, s.retryAfter(now, w))
 	}
 	return Decision{}
 }
@@ -241,7 +253,10 @@
 	}
 	var out []Decision
 	for _, w := range s.queue.Remove(func(w *admission.Waiter) bool { return s.tooLate(now, w) }) {
-		out = append(out, s.stated(w.Kind, refuse(w.ID, ReasonDeadline, s.estimatedWait(w.Kind))))
+		out = append(out, s.stated(w, refuse(w.ID, ReasonDeadline, s.retryAfter(now, w))))
+	}
+	for _, w := range s.queue.Remove(func(w *admission.Waiter) bool { return w.GivesUp(now) }) {
+		out = append(out, s.stated(w, refuse(w.ID, ReasonObjective, s.retryAfter(now, w))))
 	}
 	s.queue.Serve(func(w *admission.Waiter) bool {
 		g := s.tryGrant(now, w)
@@ -302,7 +317,7 @@
 	}
 	s.begin(now, usable[i], w.Kind)
 	return &Grant{
-		Basis:      s.basis(now, usable[i], len(usable)),
+		Basis:      s.basis(now, usable[i], len(usable), w),
 		ID:         w.ID,
 		Target:     usable[i].ID,
 		Join:       usable[i].Join,
@@ -310,13 +325,14 @@
 	}
 }
 
-func (s *Scheduler) basis(now time.Time, t *tarragonwell.TargetState, candidates int) Basis {
+func (s *Scheduler) basis(now time.Time, t *tarragonwell.TargetState, candidates int, w *admission.Waiter) Basis {
 	b := Basis{
 		Candidates: candidates,
 		InFlight:   t.InFlight,
 		Occupancy:  float64(t.InFlight) + t.Others,
 		Slowness:   t.Slowness,
 		ReportAge:  -1,
+		Late:       w.Late,
 	}
 	if !t.ReportedAt.IsZero() {
 		b.ReportAge = now.Sub(t.ReportedAt)
@@ -325,13 +341,13 @@
 }
 
 // stated adds the state of the service to a refused decision.
-func (s *Scheduler) stated(k *tarragonwell.Kind, d Decision) Decision {
+func (s *Scheduler) stated(w *admission.Waiter, d Decision) Decision {
 	if d.Refusal != nil {
 		d.Refusal.State = State{
 			InFlight: s.inFlight,
 			Limit:    s.Limit(),
 			Waiting:  s.queue.Len(),
-			Wait:     s.estimatedWait(k),
+			Wait:     s.estimatedWait(w),
 		}
 	}
 	return d
@@ -343,7 +359,8 @@
 		ShortLatency: s.shortLatency,
 		MeanOthers:   s.meanOthers,
 		Ramp:         s.options.Service.Ramp,
-		Entitled:     !w.Spare && s.entitled(w.Kind),
+		Entitled:     !w.Spare && s.options.Service.Fill == 0 && s.entitled(w.Kind),
+		Fill:         s.fillOf(w),
 		MeanSlowness: s.meanSlowness,
 	}
 }
--- a/pkg/tarragonwell/scheduling/stats.go
+++ b/pkg/tarragonwell/scheduling/stats.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
 
 const (
@@ -22,6 +23,9 @@
 	latency float64
 	// late estimates the hedgeQuantile of the latency, in nanoseconds.
 	late float64
+	// longest is the most time that a caller has brought, with which first
+	// attempts come.
+	longest time.Duration
 }
 
 func (s *Scheduler) stats(k *tarragonwell.Kind) *kindStats {
@@ -74,13 +78,13 @@
 	return time.Duration(s.stats(k).late)
 }
 
-// estimatedWait is the time that a new call of a kind would wait.
-func (s *Scheduler) estimatedWait(k *tarragonwell.Kind) time.Duration {
+// estimatedWait is the time that a new call would wait.
+func (s *Scheduler) estimatedWait(w *admission.Waiter) time.Duration {
 	rate := s.grants.perSecond()
 	if rate == 0 {
 		return 0
 	}
-	return time.Duration(s.queue.Ahead(k) / rate * float64(time.Second))
+	return time.Duration(s.queue.Ahead(w) / rate * float64(time.Second))
 }
 
 // rateMeter measures events a second over windows. The zero value has measured
--- a/pkg/tarragonwell/scheduling/survey.go
+++ b/pkg/tarragonwell/scheduling/survey.go
@@ -16,6 +16,10 @@
 	surveyBurst = 2 * time.Second
 	// askedLately is the age up to which an answer isn't asked for again.
 	askedLately = 12 * time.Millisecond
+	// waitingSurveyInterval is the time between two surveys for calls that wait,
+	// of waitingSurvey targets each.
+	waitingSurveyInterval = 20 * time.Millisecond
+	waitingSurvey         = 2
 )
 
 // configureSurveys sets the instance's part of the probe budget. The budget is
@@ -31,17 +35,33 @@
 }
 
 // Survey draws the targets that are asked for their load before a call is
-// placed. It returns none where the budget is spent or calls wait already.
+// placed. It returns none where the budget is spent.
 func (s *Scheduler) Survey(now time.Time, r Request) []string {
-	most := s.options.Service.Survey
-	if most <= 0 || s.queue.Len() > 0 {
-		return nil
-	}
-	usable := s.usable(now, &admission.Waiter{
+	return s.draw(now, &admission.Waiter{
 		Kind:    r.Kind,
 		Exclude: r.Exclude,
-	})
-	near := policy.Near(usable, r.Kind)
+	}, s.options.Service.Survey)
+}
+
+// SurveyForWaiting draws targets that are asked on behalf of the calls that
+// wait, now and then: a place that got free elsewhere is heard of in no other
+// way.
+func (s *Scheduler) SurveyForWaiting(now time.Time) []string {
+	first := s.queue.First()
+	if first == nil || now.Sub(s.surveyedForWaiting) < waitingSurveyInterval {
+		return nil
+	}
+	s.surveyedForWaiting = now
+	return s.draw(now, first, min(waitingSurvey, s.options.Service.Survey))
+}
+
+// draw picks up to most targets at random, as far as the budget goes. Those that
+// were asked lately count among them.
+func (s *Scheduler) draw(now time.Time, w *admission.Waiter, most int) []string {
+	if most <= 0 {
+		return nil
+	}
+	near := policy.Near(s.usable(now, w), w.Kind)
 	if len(near) < 2 {
 		return nil
 	}
