Soak fleets on the prepared platform with faults from outside

Change: test/soak starts instances, a store and targets on loopback, with proxies that delay, reset, silence and cut one way, signals that kill, stop and freeze, a store that fails, forgets and turns some away, targets that leave and lose answers; it checks at most once, truthful refusals, whole answers, proper requests, configuration, the retry budget, graceful stops and recovery.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 SEEDS ?= 10
+FIRST ?= 1
 OUT = out
 
-.PHONY: build test lint generate check-generated check-linked unit demo demo-up prove bench latency slopes fuzz
+.PHONY: build test lint generate check-generated check-linked unit demo demo-up prove soak bench latency slopes fuzz
 
 build:
 	$(GO) build -o bin/tarragonwell .
@@ -46,6 +47,11 @@
 prove:
 	$(GO) run ./test/prove --seeds $(SEEDS) --parallel 3
 
+# Faults from outside against fleets on the prepared platform: make soak SEEDS=50
+soak:
+	@mkdir -p $(OUT)
+	$(GO) run ./test/soak --first $(FIRST) --seeds $(SEEDS) --parallel 3 --logs $(OUT)
+
 bench:
 	$(GO) run ./test/bench --out $(OUT)/bench
 
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/test/fleet"
+)
+
+// TestShortSoak plays seeds of a few seconds, those that ever failed among them.
+func TestShortSoak(t *testing.T) {
+	o := options{
+		Instances: 4,
+		Targets:   6,
+		Clients:   6,
+		Length:    4 * time.Second,
+		Logs:      t.TempDir(),
+	}
+	folder := t.TempDir()
+	program, err := fleet.Build(folder, "tarragonwell", ".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, seed := range []uint64{1, 2} {
+		r := play(o, program, folder, seed)
+		if r.err != nil {
+			t.Fatalf("seed %d: %v", seed, r.err)
+		}
+		for _, b := range r.broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if r.served == 0 {
+			t.Errorf("seed %d: nothing was served", seed)
+		}
+	}
+}
+
+// TestChecksSeeARepeat plays a fleet whose instances send again what must not
+// repeat, and holds that the checks notice.
+func TestChecksSeeARepeat(t *testing.T) {
+	folder := t.TempDir()
+	program, err := fleet.Build(folder, "without", ".", "-tags", "negativecontrol")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("TARRAGONWELL_WITHOUT", "single-send")
+	w, err := newWorld(program, folder, 90, 2, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.close()
+	for _, b := range w.backends {
+		b.target.Behave(0.5, 1)
+	}
+	c := &clients{
+		world: w,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	c.run(ctx, 90, 6)
+	f := &faults{
+		world: w,
+	}
+	seen := false
+	for _, b := range check(w, f, c.requests, time.Now()) {
+		seen = seen || strings.HasPrefix(b, "at most once")
+	}
+	if !seen {
+		t.Error("no request that must not repeat was seen to run again")
+	}
+}
