Tell callers that only targets refused to come back at once; count refusals with room as failures

Change: such a refusal names 25 ms; a target that refuses though its own report says that it has room counts as failing, so others are preferred.

--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -17,6 +17,11 @@
 // does not, those included that targets refused.
 const usualAttempts = 4
 
+// shedRetryAfter is when the caller of a request that only targets refused is
+// told to return: at once, but for the time in which a slot gets free. Its next
+// request costs the fleet's retry budget nothing.
+const shedRetryAfter = 25 * time.Millisecond
+
 // dispatch is one call on its way. One goroutine owns it.
 type dispatch struct {
 	service *Service
@@ -178,7 +183,7 @@
 		cause = tarragonwell.CauseTarget
 	}
 	out := d.failed(r.Reason, cause)
-	out.RetryAfter = r.RetryAfter
+	out.RetryAfter = max(out.RetryAfter, r.RetryAfter)
 	return out
 }
 
@@ -191,11 +196,15 @@
 	if d.mayHaveRun && control.Holds(control.TruthfulNotRun) {
 		outcome = tarragonwell.OutcomeUnknown
 	}
-	return tarragonwell.Result{
+	result := tarragonwell.Result{
 		Outcome: outcome,
 		Reason:  reason,
 		Cause:   cause,
 	}
+	if outcome == tarragonwell.OutcomeNotRun && d.attempts > 0 {
+		result.RetryAfter = shedRetryAfter
+	}
+	return result
 }
 
 // causeOf tells a target that failed from time that ran out.
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -96,7 +96,7 @@
 	case EndFailed:
 		s.fail(now, t, r.Kind)
 	case EndShed:
-		s.shed(now, t)
+		s.shed(now, t, r)
 	case EndCancelled:
 	}
 }
@@ -143,9 +143,14 @@
 	t.Ejections++
 }
 
-func (s *Scheduler) shed(now time.Time, t *tarragonwell.TargetState) {
+// shed takes in a refusal. A target that refuses though it has room fails.
+func (s *Scheduler) shed(now time.Time, t *tarragonwell.TargetState, r Release) {
 	t.Shed++
 	t.Progress = now
+	if r.Load != nil && r.Load.Total() < t.Slots {
+		t.FailureRate += failureSmoothing * (1 - t.FailureRate)
+		return
+	}
 	t.Others = max(t.Others, float64(t.Slots))
 	t.ReportedAt = now
 	s.limiter.Congest(now, s.shortLatency)
