Ask two targets at a time, and more only where neither is good

Change: a survey asks two targets, and two more where none of those asked lately is quiet and has room to spare; answers to other calls count too.

--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -24,7 +24,9 @@
 // is placed.
 type surveyMessage struct {
 	request scheduling.Request
-	reply   chan<- []*target.Target
+	// round counts from 0.
+	round int
+	reply chan<- []*target.Target
 }
 
 // abandonMessage gives up a call that may be waiting or may have been granted.
--- a/internal/service/survey.go
+++ b/internal/service/survey.go
@@ -15,17 +15,25 @@
 const surveyLimit = 12 * time.Millisecond
 
 // survey asks a few targets for their load before a call is placed, so that
-// the choice rests on fresh news. It returns when all have answered or the
-// limit is over; late answers are still taken in.
+// the choice rests on fresh news, and a few more where none of them is good.
 func (s *Service) survey(ctx context.Context, r scheduling.Request) {
+	for round := 0; s.surveyRound(ctx, r, round); round++ {
+	}
+}
+
+// surveyRound asks some targets and returns when all have answered or the limit
+// is over; late answers are still taken in. It reports whether there were any
+// to be asked.
+func (s *Service) surveyRound(ctx context.Context, r scheduling.Request, round int) bool {
 	ask, err := task.Ask(ctx, s.mailbox, func(reply chan<- []*target.Target) any {
 		return surveyMessage{
 			request: r,
+			round:   round,
 			reply:   reply,
 		}
 	})
 	if err != nil || len(ask) == 0 {
-		return
+		return false
 	}
 	var asked sync.WaitGroup
 	for _, t := range ask {
@@ -45,6 +53,7 @@
 	case <-limit.C:
 	case <-ctx.Done():
 	}
+	return ctx.Err() == nil
 }
 
 // surveyForWaiting asks on behalf of the calls that wait. Nobody waits for the
@@ -56,9 +65,9 @@
 }
 
 // surveyed returns the targets to be asked.
-func (st *state) surveyed(now time.Time, r scheduling.Request) []*target.Target {
+func (st *state) surveyed(now time.Time, m surveyMessage) []*target.Target {
 	var out []*target.Target
-	for _, id := range st.scheduler.Survey(now, r) {
+	for _, id := range st.scheduler.Survey(now, m.request, m.round) {
 		out = append(out, st.handles[id].target)
 	}
 	return out
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -253,7 +253,7 @@
 	case target.ProbeReport:
 		s.probed(now, st, m)
 	case surveyMessage:
-		m.reply <- st.surveyed(now, m.request)
+		m.reply <- st.surveyed(now, m)
 	case targetsMessage:
 		s.setTargets(ctx, st, targets, m.targets)
 	case configureMessage:
--- a/pkg/tarragonwell/scheduling/crest_test.go
+++ b/pkg/tarragonwell/scheduling/crest_test.go
@@ -113,7 +113,7 @@
 		now := start.Add(time.Duration(n) * 100 * time.Microsecond)
 		asked += len(s.Survey(now, Request{
 			Kind: timed,
-		}))
+		}, 0))
 	}
 	// Ten targets, 60 a second, ten seconds, and the burst.
 	if most := 60*10*10 + 60*10*int(surveyBurst.Seconds()); asked > most {
--- a/pkg/tarragonwell/scheduling/survey.go
+++ b/pkg/tarragonwell/scheduling/survey.go
@@ -16,6 +16,12 @@
 	surveyBurst = 2 * time.Second
 	// askedLately is the age up to which an answer isn't asked for again.
 	askedLately = 12 * time.Millisecond
+	// surveyBatch is the number of targets that are asked at a time.
+	surveyBatch = 2
+	// A target is good that works at most so much slower than usual, with at most
+	// this share of its slots taken.
+	goodSlowness = 1.2
+	goodShare    = 0.4
 	// waitingSurveyInterval is the time between two surveys for calls that wait,
 	// of waitingSurvey targets each.
 	waitingSurveyInterval = 20 * time.Millisecond
@@ -35,12 +41,14 @@
 }
 
 // Survey draws the targets that are asked for their load before a call is
-// placed. It returns none where the budget is spent.
-func (s *Scheduler) Survey(now time.Time, r Request) []string {
+// placed: a few at a time, none once one of those that were asked lately is
+// good. round counts from 0. It returns none where the budget is spent.
+func (s *Scheduler) Survey(now time.Time, r Request, round int) []string {
+	most := min(surveyBatch, s.options.Service.Survey-round*surveyBatch)
 	return s.draw(now, &admission.Waiter{
 		Kind:    r.Kind,
 		Exclude: r.Exclude,
-	}, s.options.Service.Survey)
+	}, most)
 }
 
 // SurveyForWaiting draws targets that are asked on behalf of the calls that
@@ -65,18 +73,18 @@
 	if len(near) < 2 {
 		return nil
 	}
-	known := 0
+	for _, t := range near {
+		if s.good(now, t) {
+			return nil
+		}
+	}
 	var ask []string
 	for _, i := range rand.Perm(len(near)) {
-		if known+len(ask) >= most {
-			break
-		}
 		t := near[i]
 		if now.Sub(t.AskedAt) < askedLately {
-			known++
 			continue
 		}
-		if !s.surveys.AllowN(now, 1) {
+		if len(ask) >= most || !s.surveys.AllowN(now, 1) {
 			break
 		}
 		ask = append(ask, t.ID)
@@ -84,6 +92,13 @@
 	return ask
 }
 
+// good reports whether a target has told lately that it is quiet and has room
+// to spare, so that asking others would gain little.
+func (s *Scheduler) good(now time.Time, t *tarragonwell.TargetState) bool {
+	taken := float64(t.InFlight) + t.Others
+	return now.Sub(t.AskedAt) < askedLately && t.Slowness <= goodSlowness && taken <= goodShare*float64(t.Slots)
+}
+
 // TakeAnswer takes in the answer to a question for a target's load.
 func (s *Scheduler) TakeAnswer(now time.Time, id string, l tarragonwell.LoadReport) {
 	s.TakeLoad(now, id, l)
