--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -30,6 +30,7 @@
 	Explain explainCommand `cmd:"" help:"Tell which rules are in force for a request, their lines and who asked for them."`
 	Status  statusCommand  `cmd:"" help:"Show an instance's targets, peers, rules and load."`
 	Audit   auditCommand   `cmd:"" help:"Show an instance's trail of changes."`
+	Trace   traceCommand   `cmd:"" help:"Walk from a call's id to what decided its end, over files of log lines."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
