--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -237,7 +238,7 @@
 		Restorable: f.Restorable(),
 		Reader: func() (bool, time.Time) {
 			s := i.peers.Snapshot()
-			return s.Reader, s.Contact
+			return s.Reader, i.contact(s.Contact)
 		},
 		Read: func(ctx context.Context, plain bool, wait time.Duration) error {
 			after, wait := i.watchFrom(plain, wait)
@@ -252,6 +253,19 @@
 	}
 }
 
+// firstRead is how long a new instance waits for its peers to tell what they
+// read, unless it is one of the seeds, which the others ask.
+const firstRead = 500 * time.Millisecond
+
+// contact is when the platform was last heard of, or what stands for it before
+// it ever was.
+func (i *Instance) contact(heard time.Time) time.Time {
+	if !heard.IsZero() || slices.Contains(i.common.Settings.Seeds, i.common.Settings.PeerAddress) || len(i.common.Settings.Seeds) == 0 {
+		return heard
+	}
+	return i.common.Started.Add(firstRead - i.common.Settings.ContactLimit)
+}
+
 // watchFrom is what to ask of the platform; a plain read waits for nothing.
 func (i *Instance) watchFrom(plain bool, wait time.Duration) (tarragonwell.Position, time.Duration) {
 	if plain {
--- a/internal/instance/join.go
+++ b/internal/instance/join.go
@@ -10,6 +10,9 @@
 
 const (
 	joinPoll = 50 * time.Millisecond
+	// slowJoinPoll is reached by doubling, so that a whole fleet that starts does
+	// not press on its seeds.
+	slowJoinPoll = 400 * time.Millisecond
 	// greeted is how many peers a new instance asks before it is ready.
 	greeted = 8
 	// joinPatience is how long an instance that has rules still waits for a peer
@@ -23,6 +26,7 @@
 // the platform is stale.
 func (i *Instance) join(ctx context.Context) {
 	begin := i.common.Clock.Now()
+	poll := joinPoll
 	for ctx.Err() == nil {
 		newest, answered, asked := i.greet(ctx)
 		rules := i.documents.Rules()
@@ -30,7 +34,8 @@
 		if rules != nil && !newest.After(rules.Version) && (answered > 0 || asked == 0 && i.documents.published.Load().listRevision > 0 || late) {
 			break
 		}
-		wait(ctx, joinPoll)
+		wait(ctx, poll)
+		poll = min(2*poll, slowJoinPoll)
 	}
 	if ctx.Err() != nil {
 		return
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -227,6 +227,7 @@
 	st.prober, _ = chooser.(tarragonwell.Prober)
 	st.scheduler = scheduling.New(scheduling.Options{
 		Service:    st.rule,
+		Instance:   s.options.Common.Settings.Name,
 		DataCenter: s.options.Common.Settings.DataCenter,
 		Chooser:    chooser,
 		Sharers:    s.options.Sharers,
@@ -313,6 +314,7 @@
 	st.instances = m.instances
 	o := scheduling.Options{
 		Service:    m.service,
+		Instance:   s.options.Common.Settings.Name,
 		DataCenter: s.options.Common.Settings.DataCenter,
 		Sharers:    m.sharers,
 		Instances:  m.instances,
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -147,11 +147,7 @@
 // Pick draws up to n of the instance's partners. One that has been silent, or
 // was never heard of, is drawn besides, for it may be back.
 func (v *View) Pick(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
-	peers := v.partners(now)
-	r.Shuffle(len(peers), func(i, j int) {
-		peers[i], peers[j] = peers[j], peers[i]
-	})
-	peers = peers[:min(len(peers), n)]
+	peers := v.drawPartners(now, n, r)
 	silent := v.list(func(x *record) bool { return now.Sub(x.heard) >= aliveFor })
 	if len(silent) > 0 {
 		peers = append(peers, silent[r.IntN(len(silent))])
@@ -164,6 +160,31 @@
 	return peers
 }
 
+// farEvery is how many draws there are to one that goes to another data center,
+// while there are partners enough in the own.
+const farEvery = 4
+
+// drawPartners draws up to n partners, most of them of the own data center:
+// traffic between data centers is dear.
+func (v *View) drawPartners(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
+	peers := v.partners(now)
+	r.Shuffle(len(peers), func(i, j int) {
+		peers[i], peers[j] = peers[j], peers[i]
+	})
+	near := func(m tarragonwell.Member) int {
+		if m.DataCenter == v.Self.DataCenter {
+			return 0
+		}
+		return 1
+	}
+	if r.IntN(farEvery) > 0 {
+		slices.SortStableFunc(peers, func(a, b tarragonwell.Member) int {
+			return cmp.Compare(near(a), near(b))
+		})
+	}
+	return peers[:min(len(peers), n)]
+}
+
 // partners are the few peers that the instance talks to for a time, so that its
 // connections stay as few as the fleet grows. Who they are changes with the
 // epoch, and differs between instances, so that news reaches all in few steps.
--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -35,6 +35,8 @@
 	// enoughNear is the number of targets in the own data centre below which
 	// kinds with small answers use the others as well.
 	enoughNear = 4
+	// enoughPreferred is the number of preferred targets with room that will do.
+	enoughPreferred = 6
 	// askedLately is the age up to which the answer of a target that was asked
 	// makes it a candidate.
 	askedLately = 40 * time.Millisecond
@@ -66,6 +68,10 @@
 	room := func(t *tarragonwell.TargetState) bool {
 		return awake(t) && hasRoom(now, t, in)
 	}
+	preferred := func(t *tarragonwell.TargetState) bool { return t.Preferred && room(t) }
+	if c.collect(targets, preferred) && len(c.candidates) >= enoughPreferred {
+		return c.bestOfSample(now, in, targets)
+	}
 	local := func(t *tarragonwell.TargetState) bool { return t.Local && room(t) }
 	if c.collect(targets, local) && enough(in.Kind, len(c.candidates)) {
 		return c.bestOfSample(now, in, targets)
@@ -104,12 +110,18 @@
 
 // Near returns the targets that a call of a kind is placed on by preference.
 func Near(targets []*tarragonwell.TargetState, k *tarragonwell.Kind) []*tarragonwell.TargetState {
-	var near []*tarragonwell.TargetState
+	var preferred, near []*tarragonwell.TargetState
 	for _, t := range targets {
+		if t.Preferred {
+			preferred = append(preferred, t)
+		}
 		if t.Local {
 			near = append(near, t)
 		}
 	}
+	if len(preferred) >= enoughPreferred {
+		return preferred
+	}
 	if len(near) > 0 && enough(k, len(near)) {
 		return near
 	}
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -14,7 +14,9 @@
 
 // Options configures a Scheduler.
 type Options struct {
-	Service    *tarragonwell.Service
+	Service *tarragonwell.Service
+	// Instance names the instance; it decides which targets are preferred.
+	Instance   string
 	DataCenter string
 	Chooser    tarragonwell.Chooser
 	// Sharers is the number of instances that serve now, as far as is known; at
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -92,11 +92,35 @@
 	for i, t := range byHash {
 		t.LongRank = i
 	}
+	s.prefer(byHash)
 	slices.SortFunc(s.targets, func(a, b *tarragonwell.TargetState) int {
 		return cmp.Compare(a.ID, b.ID)
 	})
 }
 
+// preferredTargets is how many targets of the own data center an instance
+// prefers where there are more: few enough to keep connections and news of them
+// warm, enough to choose from.
+const preferredTargets = 24
+
+// prefer marks the preferred targets by rendezvous hashing with the instance,
+// so that the instances spread over all targets. It reorders the list.
+func (s *Scheduler) prefer(list []*tarragonwell.TargetState) {
+	weight := func(t *tarragonwell.TargetState) uint64 {
+		return xxhash.Sum64String(s.options.Instance + " " + t.ID)
+	}
+	slices.SortFunc(list, func(a, b *tarragonwell.TargetState) int {
+		return cmp.Compare(weight(a), weight(b))
+	})
+	left := preferredTargets
+	for _, t := range list {
+		t.Preferred = t.Local && left > 0 && !t.ListedLeaving && !t.Lapsed
+		if t.Preferred {
+			left--
+		}
+	}
+}
+
 // MarkLeaving takes in the word of a target or peer that a target leaves. It
 // reports whether this is news.
 func (s *Scheduler) MarkLeaving(now time.Time, id string, until time.Time) bool {
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -65,6 +65,9 @@
 	// Lapsed says that the entry is gone from the platform's list, though not for
 	// long enough to be certain that the target is. It is a last resort.
 	Lapsed bool
+	// Preferred says that the target is one of those that the instance keeps its
+	// connections to, where there are many.
+	Preferred bool
 	// LongRank orders the targets of a service for long work, from 0. It is the
 	// same on every instance with the same list.
 	LongRank int
