Eject targets whose address another one has; keep budgets divided by the most ever heard of

Cause: a call to a reused address is refused with 421 and was counted like a full target, so it was tried again; failed questions for load counted for nothing; the slack of retries was divided by those heard of now, which are too few under a partition; the end of a graceful stop was a constant of the template.

Change: 421 ejects the target until the list says so too; a question that fails counts as a failure; the highest number of instances heard of is kept; the drain limit is the users' grace, of which 0.95 is used.

--- /dev/null
+++ b/internal/common/log_bench_test.go
@@ -0,0 +1,23 @@
+package common
+
+import "testing"
+
+// sink takes lines; the logger would not even encode them for io.Discard.
+type sink struct{}
+
+func (sink) Write(p []byte) (int, error) {
+	return len(p), nil
+}
+
+// BenchmarkCallLine is what one line on a call costs.
+func BenchmarkCallLine(b *testing.B) {
+	l, err := NewLogger(sink{}, "info", "entry-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Info("call-placed", "call", "9c41d07be2a35f68", "attempt", 1, "kind", "idempotent-rank-2-400ms", "service", "s",
+			"target", "i-44e877a9db", "hedge", false, "candidates", 27, "own-calls", 1, "occupancy", 1.5, "slowness", 1.0, "news-age-ms", 3, "late", false)
+	}
+}
--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -70,6 +70,8 @@
 	fetchingList  bool
 	// counts are what the services were last configured with.
 	counts fleetCounts
+	// mostAlive is the highest number of instances that were heard of at a time.
+	mostAlive int
 	// told is what the peers' task was last told.
 	told tarragonwell.Position
 	// confirming is set while the list is read anew after a pause.
--- a/internal/instance/leave.go
+++ b/internal/instance/leave.go
@@ -13,6 +13,9 @@
 const (
 	handOverTimeout = 2 * time.Second
 	handOverRetries = 10
+	// drainShare is the part of the drain limit after which the instance ends by
+	// itself, before it is ended.
+	drainShare = 0.95
 	// farewell is how long peers are still answered after the hand-over, so that
 	// they learn where the operations went.
 	farewell = 1500 * time.Millisecond
@@ -30,10 +33,11 @@
 		LearntFrom: "self",
 		Detail:     i.common.Settings.Callers,
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), i.common.Settings.DrainLimit)
+	limit := time.Duration(float64(i.common.Settings.DrainLimit) * drainShare)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if control.Holds(control.GracefulStop) {
-		wait(ctx, i.common.Settings.BalancerWait)
+		wait(ctx, min(i.common.Settings.BalancerWait, limit/2))
 		if i.operations != nil {
 			i.handOver(ctx)
 		}
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -48,11 +48,12 @@
 }
 
 // count takes the highest number that anything names for budgets: those that
-// can be heard are too few under a partition.
+// can be heard are too few under a partition, so the most that ever were count.
 func (d *documents) count(st *documentsState) fleetCounts {
 	alive := d.peers.Snapshot().Alive
+	st.mostAlive = max(st.mostAlive, len(alive)+1)
 	c := fleetCounts{
-		atMost:  max(st.rules.Fleet.InstancesAtMost, len(st.list.Instances()), len(alive)+1),
+		atMost:  max(st.rules.Fleet.InstancesAtMost, len(st.list.Instances()), st.mostAlive),
 		serving: 1,
 	}
 	for _, m := range alive {
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -118,6 +118,8 @@
 func (d *dispatch) releaseFailed(ctx context.Context, l *lease, e *tarragonwell.ExchangeError, begin time.Time) {
 	end := scheduling.EndFailed
 	switch {
+	case e.Misdirected:
+		end = scheduling.EndMisdirected
 	case e.Stage == tarragonwell.StageRefused:
 		end = scheduling.EndShed
 	case errors.Is(e.Err, context.Canceled) && !errors.Is(context.Cause(ctx), errStalled):
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -27,6 +27,9 @@
 	s.metrics.probes.Inc()
 	if r.Err != nil {
 		s.options.Common.Log.Debug("probe failed", "service", st.rule.Name, "target", r.ID, "error", r.Err)
+		if r.Asked {
+			st.scheduler.FailProbe(r.ID)
+		}
 		return
 	}
 	if r.Answer.Load != nil {
--- a/pkg/tarragonwell/scheduling/crest_test.go
+++ b/pkg/tarragonwell/scheduling/crest_test.go
@@ -155,3 +155,17 @@
 		t.Errorf("got %+v, want the lapsed target", d.Grant)
 	}
 }
+
+// TestReusedAddressesLoseTheirTraffic holds that a target whose address another
+// one answers at is tried once, and not again while it is listed.
+func TestReusedAddressesLoseTheirTraffic(t *testing.T) {
+	s := newFilling(2)
+	s.begin(start, s.find("t00"), short)
+	release(s, start, "t00", EndMisdirected, time.Millisecond)
+	for id := range uint64(4) {
+		d := ask(s, start.Add(time.Second), id, 3*time.Second)
+		if d.Grant == nil || d.Grant.Target != "t01" {
+			t.Fatalf("got %+v, want the target that is where the list says", d.Grant)
+		}
+	}
+}
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -36,6 +36,8 @@
 	EndFailed
 	// EndShed is a target's word that it did not run the call.
 	EndShed
+	// EndMisdirected is the word of another target that has the address now.
+	EndMisdirected
 	// EndCancelled is an attempt that the instance gave up; it says nothing of
 	// the target.
 	EndCancelled
@@ -97,10 +99,29 @@
 		s.fail(now, t, r.Kind)
 	case EndShed:
 		s.shed(now, t, r)
+	case EndMisdirected:
+		s.misdirected(now, t)
 	case EndCancelled:
 	}
 }
 
+// misdirected ejects a target that is no longer where the list says, until the
+// list says so too.
+func (s *Scheduler) misdirected(now time.Time, t *tarragonwell.TargetState) {
+	t.Failed++
+	t.Progress = now
+	t.ConsecutiveFailures = max(t.ConsecutiveFailures, ejectAfter)
+	t.EjectedUntil = now.Add(lastEjection)
+}
+
+// FailProbe takes in that a target did not answer a question for its load as
+// itself.
+func (s *Scheduler) FailProbe(id string) {
+	if t := s.find(id); t != nil {
+		t.FailureRate += failureSmoothing * (1 - t.FailureRate)
+	}
+}
+
 func (s *Scheduler) succeed(now time.Time, t *tarragonwell.TargetState, r Release) {
 	t.FailureRate *= 1 - failureSmoothing
 	if t.ConsecutiveFailures >= ejectAfter {
