Believe removals while the platform is there; pass on every word that brings news

Change: a lapse is one only after 1.5 s in which nobody reached the platform; the time of a removed target counts from when the list was last current; a word with news is always passed on; a second delegate is told where the first does not answer.

--- a/internal/instance/documents.go
+++ b/internal/instance/documents.go
@@ -23,7 +23,7 @@
 	// that others have.
 	fetchTimeout = 600 * time.Millisecond
 	// countInterval is how often the instances are counted anew.
-	countInterval  = 500 * time.Millisecond
+	countInterval  = 200 * time.Millisecond
 	confirmTimeout = 900 * time.Millisecond
 	// confirmPeers is how many peers are asked after a pause.
 	confirmPeers = 3
@@ -225,7 +225,7 @@
 
 // takeList reports whether the list is another one now.
 func (d *documents) takeList(st *documentsState, m listOffer) bool {
-	changed, ok := st.list.Apply(d.common.Clock.Now(), m.change)
+	changed, ok := st.list.Apply(d.common.Clock.Now(), d.peers.Snapshot().Contact, m.change)
 	if !ok {
 		d.common.Log.Warn("list change doesn't follow", "since", m.change.Since, "have", st.list.Revision(), "from", m.from)
 	}
--- a/internal/peer/contact.go
+++ b/internal/peer/contact.go
@@ -42,8 +42,8 @@
 type contacts struct {
 	latest  word
 	pending word
-	// told is when the word that was last passed on was true.
-	told time.Time
+	// told is the word that was last passed on.
+	told word
 	// due is set while latest is to be passed on.
 	due bool
 }
@@ -60,11 +60,18 @@
 		return
 	}
 	c.latest = w
-	if (w.own || w.relay) && w.at.Sub(c.told) >= relayGain {
+	if (w.own || w.relay) && c.worthTelling(w) {
 		c.due = true
 	}
 }
 
+// worthTelling reports whether a word says more than the last that was passed
+// on: that there is something new, or that for some time there was not.
+func (c *contacts) worthTelling(w word) bool {
+	return w.position.List > c.told.position.List || w.position.Rules > c.told.position.Rules ||
+		w.at.Sub(c.told.at) >= relayGain
+}
+
 // settle looks whether a word that waits has come true.
 func (c *contacts) settle(seen tarragonwell.Position) {
 	w := c.pending
--- a/internal/peer/contact_test.go
+++ b/internal/peer/contact_test.go
@@ -52,7 +52,7 @@
 		})
 		if c.due {
 			c.due = false
-			c.told = c.latest.at
+			c.told = c.latest
 			told++
 		}
 	}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
 // relay passes the word of the platform's latest answer on: along a tree in the
@@ -17,11 +19,13 @@
 	now := p.options.Common.Clock.Now()
 	w := st.contacts.latest
 	st.contacts.due = false
-	st.contacts.told = w.at
+	st.contacts.told = w
 	n := p.news(now, st, true)
 	n.relay = true
 	if w.own {
-		p.tell(ctx, st.view.Delegates(now, st.random), n, p.relays, exchanges)
+		for _, candidates := range st.view.Delegates(now, st.random) {
+			p.tellOne(ctx, candidates, n, exchanges)
+		}
 	}
 	n.relayRoot = w.root
 	if n.relayRoot == "" {
@@ -29,3 +33,15 @@
 	}
 	p.tell(ctx, st.view.Children(now, n.relayRoot), n, p.relays, exchanges)
 }
+
+// tellOne tells the first of some peers that answers.
+func (p *Peers) tellOne(ctx context.Context, candidates []tarragonwell.Member, n news, exchanges *sync.WaitGroup) {
+	request := n.request()
+	exchanges.Go(func() {
+		for _, m := range candidates {
+			if p.exchange(ctx, m.PeerAddress, request) != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -37,8 +37,8 @@
 	// suspectFanOut is the number of peers told of a suspect target. They do not
 	// pass it on: it is old news by then.
 	suspectFanOut = 6
-	// viewFills is the time after which a new instance knows most others.
-	viewFills = 3 * time.Second
+	// viewFills is the time after which a new instance knows many others.
+	viewFills = time.Second
 	// messageOverhead estimates what HTTP adds to a message, in bytes.
 	messageOverhead = 120
 	// maxHolders, maxLeaving and maxSuspects bound the records in one message.
--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -12,14 +12,16 @@
 )
 
 const (
-	// lapseLife is how long the target of a removed entry may still be used. An
-	// entry that lapsed while the platform was away is back by then if its target
-	// lives.
+	// lapseLife is how long the target of a removed entry may still be used, from
+	// when the entry was last known to be there.
 	lapseLife = 1600 * time.Millisecond
-	// massLapseLife is the same where a large part of a service's entries went
-	// together: a sign that leases ran out, not targets. They are back within two
-	// seconds or so of the platform's return.
+	// massLapseLife is the same, from when the removal was learnt, where a large
+	// part of a service's entries went while the platform was away: a sign that
+	// leases ran out, not targets. They are back within two seconds or so of its
+	// return.
 	massLapseLife = 2500 * time.Millisecond
+	// awayFor is how long nobody must have reached the platform for that.
+	awayFor = 1500 * time.Millisecond
 	// maxLapsedShare is the share of a service's targets up to which a removal is
 	// believed.
 	maxLapsedShare = 0.34
@@ -41,8 +43,13 @@
 // entry is one target. A removed one is kept until its lapse is over.
 type entry struct {
 	target tarragonwell.ListedTarget
-	// removedAt is zero while the entry is listed.
+	// removedAt is when the entry may have been removed at the earliest; zero while
+	// it is listed.
 	removedAt time.Time
+	// learntAt is when the removal was learnt.
+	learntAt time.Time
+	// away says that the platform had been away before.
+	away bool
 }
 
 // Revision returns that of the latest change; 0 before the first.
@@ -57,7 +64,8 @@
 
 // Apply takes in a change. It reports whether the list is another one now, and
 // false for ok where the change builds on a revision that is not known yet.
-func (l *Listing) Apply(now time.Time, c *tarragonwell.ListChange) (changed, ok bool) {
+// current is when the list was last known to be current; zero for never.
+func (l *Listing) Apply(now, current time.Time, c *tarragonwell.ListChange) (changed, ok bool) {
 	if c.Since > l.revision {
 		return false, false
 	}
@@ -67,17 +75,20 @@
 	if l.targets == nil {
 		l.targets = map[string]*entry{}
 	}
+	if current.IsZero() || current.After(now) {
+		current = now
+	}
 	if c.Since == 0 {
-		l.replace(now, c)
+		l.replace(now, current, c)
 	} else {
-		l.merge(now, c)
+		l.merge(now, current, c)
 	}
 	l.revision = c.Revision
 	return true, true
 }
 
 // replace takes in a whole list.
-func (l *Listing) replace(now time.Time, c *tarragonwell.ListChange) {
+func (l *Listing) replace(now, current time.Time, c *tarragonwell.ListChange) {
 	listed := map[string]bool{}
 	for _, t := range c.Targets {
 		listed[idOf(t)] = true
@@ -85,7 +96,7 @@
 	}
 	for id, e := range l.targets {
 		if !listed[id] && e.target.Revision <= c.Revision {
-			l.remove(now, id, e)
+			l.remove(now, current, id, e)
 		}
 	}
 	l.instances = c.Instances
@@ -94,7 +105,7 @@
 }
 
 // merge takes in what has changed since an earlier revision.
-func (l *Listing) merge(now time.Time, c *tarragonwell.ListChange) {
+func (l *Listing) merge(now, current time.Time, c *tarragonwell.ListChange) {
 	for _, t := range c.Targets {
 		l.put(t)
 	}
@@ -103,7 +114,7 @@
 			continue
 		}
 		if e := l.targets[r.ID]; e != nil && e.target.Revision < r.Revision {
-			l.remove(now, r.ID, e)
+			l.remove(now, current, r.ID, e)
 		}
 		l.removals = append(l.removals, r)
 	}
@@ -136,13 +147,15 @@
 
 // remove marks an entry. Only one without an identity of its own is dropped at
 // once: its address may be another target's soon.
-func (l *Listing) remove(now time.Time, id string, e *entry) {
+func (l *Listing) remove(now, current time.Time, id string, e *entry) {
 	if e.target.ID == e.target.Address {
 		delete(l.targets, id)
 		return
 	}
 	if e.removedAt.IsZero() {
-		e.removedAt = now
+		e.removedAt = current
+		e.learntAt = now
+		e.away = now.Sub(current) >= awayFor
 	}
 }
 
@@ -152,11 +165,11 @@
 	mass := l.massLapsed()
 	dropped := false
 	for id, e := range l.targets {
-		life := lapseLife
-		if mass[e.target.Service] {
-			life = massLapseLife
+		over := now.Sub(e.removedAt) >= lapseLife
+		if e.away && mass[e.target.Service] {
+			over = now.Sub(e.learntAt) >= massLapseLife
 		}
-		if !e.removedAt.IsZero() && now.Sub(e.removedAt) >= life {
+		if !e.removedAt.IsZero() && over {
 			delete(l.targets, id)
 			dropped = true
 		}
@@ -164,14 +177,14 @@
 	return dropped
 }
 
-// massLapsed names the services that lost so many entries that it is taken for
-// a fault of the platform.
+// massLapsed names the services that lost so many entries while the platform was
+// away that it is taken for a fault of the platform.
 func (l *Listing) massLapsed() map[string]bool {
 	lapsed := map[string]int{}
 	total := map[string]int{}
 	for _, e := range l.targets {
 		total[e.target.Service]++
-		if !e.removedAt.IsZero() {
+		if !e.removedAt.IsZero() && e.away {
 			lapsed[e.target.Service]++
 		}
 	}
@@ -193,13 +206,14 @@
 }
 
 // Targets returns the targets by service, each ordered by ID. Removed ones are
-// marked as lapsed, unless many of the service's were removed together.
+// marked as lapsed, unless many of the service's went while the platform was
+// away.
 func (l *Listing) Targets() map[string][]tarragonwell.ListedTarget {
 	mass := l.massLapsed()
 	out := map[string][]tarragonwell.ListedTarget{}
 	for _, e := range l.targets {
 		t := e.target
-		t.Lapsed = !e.removedAt.IsZero() && !mass[t.Service]
+		t.Lapsed = !e.removedAt.IsZero() && !(e.away && mass[t.Service])
 		out[t.Service] = append(out[t.Service], t)
 	}
 	for _, list := range out {
--- a/pkg/tarragonwell/listing/listing_test.go
+++ b/pkg/tarragonwell/listing/listing_test.go
@@ -31,7 +31,7 @@
 
 func apply(t *testing.T, l *Listing, now time.Time, c *tarragonwell.ListChange) {
 	t.Helper()
-	if _, ok := l.Apply(now, c); !ok {
+	if _, ok := l.Apply(now, now, c); !ok {
 		t.Fatalf("change since %d refused at %d", c.Since, l.Revision())
 	}
 }
@@ -79,7 +79,9 @@
 func TestEntriesThatLapseTogetherAreBridged(t *testing.T) {
 	var l Listing
 	apply(t, &l, start, whole(5, target("a", 1), target("b", 2), target("c", 3)))
-	apply(t, &l, start, whole(9))
+	if _, ok := l.Apply(start, start.Add(-5*time.Second), whole(9)); !ok {
+		t.Fatal("the list after the outage was refused")
+	}
 	l.Expire(start.Add(2 * time.Second))
 	if got, want := ids(&l), []string{"a", "b", "c"}; !slices.Equal(got, want) {
 		t.Errorf("while they may come back: got %v, want %v", got, want)
@@ -95,18 +97,37 @@
 	}
 }
 
+// TestManyRemovalsAreBelievedWhileThePlatformIsThere holds against a service
+// whose targets are replaced together: none is used two seconds after its entry
+// went, however late that was learnt.
+func TestManyRemovalsAreBelievedWhileThePlatformIsThere(t *testing.T) {
+	var l Listing
+	apply(t, &l, start, whole(5, target("a", 1), target("b", 2), target("c", 3)))
+	learnt := start.Add(1200 * time.Millisecond)
+	if _, ok := l.Apply(learnt, start, whole(9, target("c", 3))); !ok {
+		t.Fatal("the list was refused")
+	}
+	if got, want := ids(&l), []string{"c"}; !slices.Equal(got, want) {
+		t.Errorf("after the removals: got %v, want %v", got, want)
+	}
+	l.Expire(start.Add(1700 * time.Millisecond))
+	if got, want := len(l.Targets()["s"]), 1; got != want {
+		t.Errorf("1.7 s after they were last known to be there: got %d targets, want %d", got, want)
+	}
+}
+
 // TestChangesThatDoNotFollowAreRefused holds that a gap is never skipped.
 func TestChangesThatDoNotFollowAreRefused(t *testing.T) {
 	var l Listing
 	apply(t, &l, start, whole(5, target("a", 1)))
-	_, ok := l.Apply(start, &tarragonwell.ListChange{
+	_, ok := l.Apply(start, start, &tarragonwell.ListChange{
 		Since:    7,
 		Revision: 8,
 	})
 	if ok {
 		t.Error("a change with a gap: got ok, want a refusal")
 	}
-	changed, ok := l.Apply(start, whole(4, target("z", 1)))
+	changed, ok := l.Apply(start, start, whole(4, target("z", 1)))
 	if changed || !ok {
 		t.Errorf("an older list: got changed %v, ok %v, want false, true", changed, ok)
 	}
@@ -121,7 +142,7 @@
 			if c == nil {
 				return
 			}
-			if _, ok := l.Apply(start, c); !ok {
+			if _, ok := l.Apply(start, start, c); !ok {
 				t.Fatalf("change since %d refused at %d", c.Since, l.Revision())
 			}
 		}
--- a/pkg/tarragonwell/membership/tree.go
+++ b/pkg/tarragonwell/membership/tree.go
@@ -35,20 +35,23 @@
 	return out
 }
 
-// Delegates draws one peer of each other data center.
-func (v *View) Delegates(now time.Time, r *rand.Rand) []tarragonwell.Member {
-	far := slices.DeleteFunc(v.Alive(now), func(m tarragonwell.Member) bool {
-		return m.DataCenter == v.Self.DataCenter
-	})
-	r.Shuffle(len(far), func(i, j int) {
-		far[i], far[j] = far[j], far[i]
-	})
-	seen := map[string]bool{}
-	return slices.DeleteFunc(far, func(m tarragonwell.Member) bool {
-		again := seen[m.DataCenter]
-		seen[m.DataCenter] = true
-		return again
+// maxDelegates is how many peers of a data center are tried until one answers.
+const maxDelegates = 2
+
+// Delegates draws a few peers of each other data center, of which one is to be
+// told.
+func (v *View) Delegates(now time.Time, r *rand.Rand) map[string][]tarragonwell.Member {
+	alive := v.Alive(now)
+	r.Shuffle(len(alive), func(i, j int) {
+		alive[i], alive[j] = alive[j], alive[i]
 	})
+	out := map[string][]tarragonwell.Member{}
+	for _, m := range alive {
+		if m.DataCenter != v.Self.DataCenter && len(out[m.DataCenter]) < maxDelegates {
+			out[m.DataCenter] = append(out[m.DataCenter], m)
+		}
+	}
+	return out
 }
 
 // near lists the peers of the own data center.
--- a/pkg/tarragonwell/membership/tree_test.go
+++ b/pkg/tarragonwell/membership/tree_test.go
@@ -55,7 +55,8 @@
 		}
 		reader := views[perCenter/2]
 		spread(reader, reader.Self.PeerAddress)
-		for _, m := range reader.Delegates(now, random) {
+		for _, candidates := range reader.Delegates(now, random) {
+			m := candidates[0]
 			spread(byAddress[m.PeerAddress], m.PeerAddress)
 		}
 		for _, v := range views {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -14,6 +14,8 @@
 	faultGap     = 250 * time.Millisecond
 	faultLongest = 2500 * time.Millisecond
 	stopLimit    = 7 * time.Second
+	// choices is what the variants of a fault are drawn from.
+	choices = 12
 )
 
 // faults brings faults about, in series and overlapping, drawn from a seed.
@@ -25,7 +27,7 @@
 	done []string
 	// configs are the configurations that were put, the latest last.
 	configs []configured
-	// planned and unplanned end when the last fault of their sort did.
+	// stopFailures names the instances that did not end in time.
 	stopFailures []string
 }
 
@@ -45,7 +47,7 @@
 func (f *faults) run(ctx context.Context) {
 	var all sync.WaitGroup
 	defer all.Wait()
-	kinds := []func(*node, *backend, time.Duration){
+	kinds := []func(*node, *backend, time.Duration, int){
 		f.kill, f.stop, f.freeze, f.storeFails, f.storeTurnsAway, f.storeForgets, f.storePath,
 		f.peerPath, f.targetPath, f.targetBreaks, f.targetLeaves, f.configure, f.configure,
 	}
@@ -54,12 +56,14 @@
 		n := f.world.nodes[f.random.IntN(len(f.world.nodes))]
 		b := f.world.backends[f.random.IntN(len(f.world.backends))]
 		length := faultGap + time.Duration(f.random.Int64N(int64(faultLongest)))
-		all.Go(func() { kind(n, b, length) })
+		// Everything is drawn here: the faults run beside each other.
+		choice := f.random.IntN(choices)
+		all.Go(func() { kind(n, b, length, choice) })
 		time.Sleep(faultGap + time.Duration(f.random.Int64N(int64(2*faultGap))))
 	}
 }
 
-func (f *faults) kill(n *node, _ *backend, length time.Duration) {
+func (f *faults) kill(n *node, _ *backend, length time.Duration, _ int) {
 	f.note("kill %s", n.name)
 	n.disturb()
 	n.current().Kill()
@@ -80,7 +84,7 @@
 }
 
 // stop asks for a graceful end and starts the instance again.
-func (f *faults) stop(n *node, _ *backend, length time.Duration) {
+func (f *faults) stop(n *node, _ *backend, length time.Duration, _ int) {
 	f.note("stop %s", n.name)
 	p := n.current()
 	p.Terminate()
@@ -95,7 +99,7 @@
 	f.relaunch(n)
 }
 
-func (f *faults) freeze(n *node, _ *backend, length time.Duration) {
+func (f *faults) freeze(n *node, _ *backend, length time.Duration, _ int) {
 	f.note("freeze %s for %v", n.name, length)
 	n.disturb()
 	p := n.current()
@@ -105,8 +109,8 @@
 	n.disturb()
 }
 
-func (f *faults) storeFails(_ *node, _ *backend, length time.Duration) {
-	fault := prepared.Fault(1 + f.random.IntN(3))
+func (f *faults) storeFails(_ *node, _ *backend, length time.Duration, choice int) {
+	fault := prepared.Fault(1 + choice%3)
 	f.note("store fails (%d) for %v", fault, length)
 	f.disturbAll()
 	f.world.store.Fail(fault)
@@ -116,7 +120,7 @@
 }
 
 // storeTurnsAway cuts a third of the instances off from the store.
-func (f *faults) storeTurnsAway(_ *node, _ *backend, length time.Duration) {
+func (f *faults) storeTurnsAway(_ *node, _ *backend, length time.Duration, _ int) {
 	f.note("store turns some away for %v", length)
 	for i, n := range f.world.nodes {
 		if i%3 == 0 {
@@ -130,26 +134,26 @@
 	}
 }
 
-func (f *faults) storeForgets(*node, *backend, time.Duration) {
+func (f *faults) storeForgets(*node, *backend, time.Duration, int) {
 	f.note("store forgets its history")
 	f.world.store.Compact()
 }
 
-func (f *faults) storePath(n *node, _ *backend, length time.Duration) {
-	f.breakPath("store of "+n.name, n.store, length)
+func (f *faults) storePath(n *node, _ *backend, length time.Duration, choice int) {
+	f.breakPath("store of "+n.name, n.store, length, choice)
 }
 
-func (f *faults) peerPath(n *node, _ *backend, length time.Duration) {
-	f.breakPath("peers of "+n.name, n.peers, length)
+func (f *faults) peerPath(n *node, _ *backend, length time.Duration, choice int) {
+	f.breakPath("peers of "+n.name, n.peers, length, choice)
 }
 
-func (f *faults) targetPath(_ *node, b *backend, length time.Duration) {
-	f.breakPath("path to "+b.target.ID, b.path, length)
+func (f *faults) targetPath(_ *node, b *backend, length time.Duration, choice int) {
+	f.breakPath("path to "+b.target.ID, b.path, length, choice)
 }
 
 // breakPath delays, silences, cuts one way, or resets.
-func (f *faults) breakPath(name string, p *proxy, length time.Duration) {
-	mode := proxyMode(f.random.IntN(4))
+func (f *faults) breakPath(name string, p *proxy, length time.Duration, choice int) {
+	mode := proxyMode(choice % 4)
 	f.note("%s: mode %d for %v", name, mode, length)
 	if mode == modePass {
 		p.reset()
@@ -160,7 +164,7 @@
 	p.set(modePass)
 }
 
-func (f *faults) targetBreaks(_ *node, b *backend, length time.Duration) {
+func (f *faults) targetBreaks(_ *node, b *backend, length time.Duration, _ int) {
 	f.note("%s loses answers for %v", b.target.ID, length)
 	b.target.Behave(0.3, 3)
 	time.Sleep(length)
@@ -168,7 +172,7 @@
 }
 
 // targetLeaves drains a target and brings it back.
-func (f *faults) targetLeaves(_ *node, b *backend, length time.Duration) {
+func (f *faults) targetLeaves(_ *node, b *backend, length time.Duration, _ int) {
 	f.mu.Lock()
 	leaving := !b.draining.IsZero()
 	if !leaving {
@@ -188,7 +192,7 @@
 }
 
 // configure moves reads to the other service.
-func (f *faults) configure(*node, *backend, time.Duration) {
+func (f *faults) configure(*node, *backend, time.Duration, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	reads := serviceDocs
