--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -37,8 +37,6 @@
 	// suspectFanOut is the number of peers told of a suspect target. They do not
 	// pass it on: it is old news by then.
 	suspectFanOut = 6
-	// viewFills is the time after which a new instance knows many others.
-	viewFills = time.Second
 	// messageOverhead estimates what HTTP adds to a message, in bytes.
 	messageOverhead = 120
 	// maxHolders, maxLeaving and maxSuspects bound the records in one message.
@@ -375,12 +373,6 @@
 	return response
 }
 
-// isReader waits for the view to fill: a new instance knows few others, and would
-// take itself for one of the first.
-func (p *Peers) isReader(now time.Time, st *state) bool {
-	return now.Sub(p.options.Common.Started) >= viewFills && st.view.IsReader(now, p.options.Common.Settings.Readers)
-}
-
 func (p *Peers) publish(st *state) {
 	now := p.options.Common.Clock.Now()
 	s := &Snapshot{
@@ -389,7 +381,7 @@
 		holders: map[tarragonwell.Incarnation]string{},
 		Leaving: maps.Clone(st.view.Leaving()),
 		Contact: st.contacts.latest.at,
-		Reader:  p.isReader(now, st),
+		Reader:  st.view.IsReader(now, p.options.Common.Settings.Readers),
 		State:   st.view.Self.State,
 	}
 	for _, m := range st.view.All() {
