--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -83,7 +83,7 @@
 		return false
 	}
 	allowed := serviceDesk
-	for n, c := range f.configs {
+	for _, c := range f.configs {
 		if r.sent.Sub(c.at) > applyLimit {
 			allowed = c.reads
 			continue
@@ -92,7 +92,6 @@
 		if c.at.Before(r.ended) && c.reads == service {
 			return false
 		}
-		_ = n
 	}
 	return service != allowed
 }
