--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -91,7 +91,7 @@
 func (l *Listing) replace(now, current time.Time, c *tarragonwell.ListChange) {
 	listed := map[string]bool{}
 	for _, t := range c.Targets {
-		listed[idOf(t)] = true
+		listed[t.Identity()] = true
 		l.put(t)
 	}
 	for id, e := range l.targets {
@@ -129,7 +129,7 @@
 
 // put takes in an entry unless a later one is known.
 func (l *Listing) put(t tarragonwell.ListedTarget) {
-	t.ID = idOf(t)
+	t.ID = t.Identity()
 	t.Lapsed = false
 	e := l.targets[t.ID]
 	if e == nil {
@@ -263,10 +263,3 @@
 	}
 	return l.horizon > 0
 }
-
-func idOf(t tarragonwell.ListedTarget) string {
-	if t.ID == "" {
-		return t.Address
-	}
-	return t.ID
-}
--- a/pkg/tarragonwell/published.go
+++ b/pkg/tarragonwell/published.go
@@ -61,6 +61,15 @@
 	Lapsed bool
 }
 
+// Identity returns what names the target: its ID, or its address where the
+// platform names none.
+func (l ListedTarget) Identity() string {
+	if l.ID == "" {
+		return l.Address
+	}
+	return l.ID
+}
+
 // RemovedTarget says that a target's entry is gone.
 type RemovedTarget struct {
 	ID       string
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -16,7 +16,7 @@
 func (s *Scheduler) SetTargets(now time.Time, list []tarragonwell.ListedTarget) (joined []tarragonwell.ListedTarget, left []string) {
 	listed := map[string]tarragonwell.ListedTarget{}
 	for _, l := range list {
-		listed[idOf(l)] = l
+		listed[l.Identity()] = l
 	}
 	first := len(s.targets) == 0
 	s.targets = slices.DeleteFunc(s.targets, func(t *tarragonwell.TargetState) bool {
@@ -28,7 +28,7 @@
 		return !keep
 	})
 	for _, l := range list {
-		l.ID = idOf(l)
+		l.ID = l.Identity()
 		t := s.find(l.ID)
 		if t == nil {
 			t = s.join(now, l, first)
@@ -43,13 +43,6 @@
 	return joined, left
 }
 
-func idOf(l tarragonwell.ListedTarget) string {
-	if l.ID == "" {
-		return l.Address
-	}
-	return l.ID
-}
-
 // join adds a target. At the start of the instance all targets are taken as
 // warm, for the rest of the fleet has used them before.
 func (s *Scheduler) join(now time.Time, l tarragonwell.ListedTarget, warm bool) *tarragonwell.TargetState {
