--- a/pkg/tarragonwell/admission/admission_test.go
+++ b/pkg/tarragonwell/admission/admission_test.go
@@ -190,3 +190,25 @@
 		}
 	}
 }
+
+// TestRetriesKeepToTheFleetsSlack holds that no saving up in quiet times lets an
+// instance spend more than its part of the slack beside the ratio.
+func TestRetriesKeepToTheFleetsSlack(t *testing.T) {
+	b := RetryBudget{
+		Ratio: 0.2,
+		Slack: 3,
+	}
+	for range 1000 {
+		b.Earn()
+	}
+	spent := 0
+	for range 100 {
+		b.Earn()
+		for b.Spend() {
+			spent++
+		}
+	}
+	if got, most := spent, 3+100/5; got > most {
+		t.Errorf("spent %d in a span of 100 requests, want at most %d", got, most)
+	}
+}
