Let new instances read the platform at once, and requests wait for the start

And since only those that serve counted in the rank of readers, all of a fleet that starts were readers.

Change: a new instance reads at once; what a platform without restores told it is enough to serve, with no peer's word that something is newer (pkg/tarragonwell/membership/learnt.go). Those that start count among the readers. Requests in the first 0.6 s wait for the start; what is refused then is told to come back after 0.25 s. Tests: TestNewInstancesServeOnlyWhatIsInForce, TestFewReadersWhileAFleetStarts, TestRequestsWaitForTheStart.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -41,6 +41,9 @@
 	Operations *operations.Operations
 	// Routing returns what is in force, or nil before the first rules.
 	Routing func() *Routing
+	// Joined is closed once Routing returns what is in force. Requests that come
+	// shortly after the start wait for it; nil for none.
+	Joined <-chan struct{}
 	// Leaving reports whether connections are to be given up.
 	Leaving func() bool
 }
@@ -98,7 +101,8 @@
 	if s.options.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	routing := s.options.Routing()
+	arrived := s.options.Common.Clock.Now()
+	routing := s.routing(r.Context(), arrived)
 	if routing == nil {
 		s.notNow(w, r, "no rules are in force yet")
 		return
@@ -119,20 +123,41 @@
 		s.refuse(w, r, tarragonwell.CauseNoRoute, "no rule routes this request")
 		return
 	}
-	call, cause, err := s.call(r, route, limit)
+	call, cause, err := s.call(r, route, limit, arrived)
 	if err != nil {
 		s.refuse(w, r, cause, err.Error())
 		return
 	}
-	begin := s.options.Common.Clock.Now()
 	m := routing.meters[route.Kind.Name]
 	outcome := tarragonwell.OutcomeUnknown
 	// An answer that breaks off leaves through a panic and counts as unknown.
 	defer func() {
 		m.outcomes[outcome].Inc()
-		m.seconds.UpdateDuration(begin)
+		m.seconds.UpdateDuration(arrived)
 	}()
-	outcome = s.serve(w, r, routing, call, begin)
+	outcome = s.serve(w, r, routing, call, arrived)
+}
+
+// startWait is how long after the start of the instance requests wait for it to
+// learn what is in force. After that it is unlikely that they could be served in
+// time.
+const startWait = 600 * time.Millisecond
+
+// routing returns what is in force. It waits for the first rules where the
+// instance has only just started, and returns nil where they do not come.
+func (s *Server) routing(ctx context.Context, now time.Time) *Routing {
+	left := startWait - now.Sub(s.options.Common.Started)
+	if r := s.options.Routing(); r != nil || left <= 0 {
+		return r
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-s.options.Joined:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return s.options.Routing()
 }
 
 // reserve makes room for a request's body, so that the memory for bodies stays
@@ -186,7 +211,7 @@
 
 // notReadyRetryAfter is when an instance that can't take a request may be able
 // to.
-const notReadyRetryAfter = time.Second
+const notReadyRetryAfter = 250 * time.Millisecond
 
 // ticketOf returns the ticket that a request brings, or "".
 func (s *Server) ticketOf(r *http.Request) string {
@@ -229,9 +254,9 @@
 	return p == "/" || path.Clean(p) == strings.TrimSuffix(p, "/")
 }
 
-// call reads a request whole. The cause is set with an error.
-func (s *Server) call(r *http.Request, route *tarragonwell.Route, limit int64) (*tarragonwell.Call, tarragonwell.RefusalCause, error) {
-	now := s.options.Common.Clock.Now()
+// call reads a request whole that arrived at a time. The cause is set with an
+// error.
+func (s *Server) call(r *http.Request, route *tarragonwell.Route, limit int64, arrived time.Time) (*tarragonwell.Call, tarragonwell.RefusalCause, error) {
 	// The request is the call's own from here on.
 	header := r.Header
 	header.Set("Host", r.Host)
@@ -242,13 +267,13 @@
 		Header:   header,
 		Route:    route,
 		Service:  rules.Part(route, rand.Float64()),
-		Deadline: now.Add(bound(route)),
+		Deadline: arrived.Add(bound(route)),
 	}
 	client, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		client = ""
 	}
-	if err := s.dialect.ReadCall(now, client, call); err != nil {
+	if err := s.dialect.ReadCall(arrived, client, call); err != nil {
 		return nil, tarragonwell.CauseMalformed, err
 	}
 	call.Body, err = io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -142,7 +143,7 @@
 		}
 		call, _, err := s.call(r, &tarragonwell.Route{
 			Kind: k,
-		}, 0)
+		}, 0, time.Now())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -154,3 +155,76 @@
 		}
 	}
 }
+
+// TestRequestsWaitForTheStart holds that requests which meet an instance that has
+// just started are served once it knows what is in force, and refused at once
+// where it has not learnt that in time.
+func TestRequestsWaitForTheStart(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// joins is the time from the start until the instance knows; arrives is when
+		// the request comes.
+		joins, arrives time.Duration
+		want           int
+		waits          time.Duration
+	}{
+		{
+			name:    "knows soon",
+			joins:   200 * time.Millisecond,
+			arrives: 50 * time.Millisecond,
+			want:    http.StatusOK,
+			waits:   150 * time.Millisecond,
+		},
+		{
+			name:    "does not come to know",
+			joins:   time.Hour,
+			arrives: 50 * time.Millisecond,
+			want:    http.StatusServiceUnavailable,
+			waits:   startWait - 50*time.Millisecond,
+		},
+		{
+			name:    "has not known for long",
+			joins:   time.Hour,
+			arrives: startWait,
+			want:    http.StatusServiceUnavailable,
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &blocked{
+				entered: make(chan *tarragonwell.Call, 1),
+				release: make(chan tarragonwell.Result, 1),
+			}
+			b.release <- tarragonwell.Result{
+				Outcome: tarragonwell.OutcomeComplete,
+				Answer: &tarragonwell.Answer{
+					Status: http.StatusOK,
+					Body:   http.NoBody,
+				},
+			}
+			s := serverOf(t, b)
+			s.options.Common.Started = time.Now()
+			routing := s.options.Routing()
+			joined := make(chan struct{})
+			s.options.Joined = joined
+			s.options.Routing = func() *Routing {
+				select {
+				case <-joined:
+					return routing
+				default:
+					return nil
+				}
+			}
+			timer := time.AfterFunc(x.joins, func() { close(joined) })
+			defer timer.Stop()
+			time.Sleep(x.arrives)
+			begin := time.Now()
+			w := post(s, "")
+			if got := w.Code; got != x.want {
+				t.Errorf("%s: got status %d, want %d", x.name, got, x.want)
+			}
+			if got := time.Since(begin); got != x.waits {
+				t.Errorf("%s: waited %v, want %v", x.name, got, x.waits)
+			}
+		})
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,8 +67,12 @@
 	operations *operations.Operations
 	leaving    atomic.Bool
 	ready      atomic.Bool
-	// joined is set once peers were asked, before which no call is taken.
-	joined atomic.Bool
+	// joined is closed once the instance has learnt what is in force, before which
+	// no call is taken.
+	joined chan struct{}
+	// latestRead is how far the platform's latest answer to the instance itself
+	// came; nil before the first, and where it may show earlier revisions.
+	latestRead atomic.Pointer[tarragonwell.Position]
 }
 
 // listeners are open from the start to the end of Run.
@@ -97,6 +100,7 @@
 		common:       c,
 		surroundings: around,
 		trail:        audit.NewTrail(s.AuditRecords),
+		joined:       make(chan struct{}),
 	}
 	c.Audit = i.trail
 	i.documents = newDocuments(c)
@@ -238,7 +242,7 @@
 		Restorable: f.Restorable(),
 		Reader: func() (bool, time.Time) {
 			s := i.peers.Snapshot()
-			return s.Reader, i.contact(s.Contact)
+			return s.Reader, s.Contact
 		},
 		Read: func(ctx context.Context, plain bool, wait time.Duration) error {
 			after, wait := i.watchFrom(plain, wait)
@@ -247,25 +251,16 @@
 				return err
 			}
 			i.documents.offer(p)
-			i.peers.Contact(reached(after, p))
+			position := reached(after, p)
+			if !f.Restorable() {
+				i.latestRead.Store(&position)
+			}
+			i.peers.Contact(position)
 			return nil
 		},
 	}
 }
 
-// firstRead is how long a new instance waits for its peers to tell what they
-// read, unless it is one of the seeds, which the others ask.
-const firstRead = 500 * time.Millisecond
-
-// contact is when the platform was last heard of, or what stands for it before
-// it ever was.
-func (i *Instance) contact(heard time.Time) time.Time {
-	if !heard.IsZero() || slices.Contains(i.common.Settings.Seeds, i.common.Settings.PeerAddress) || len(i.common.Settings.Seeds) == 0 {
-		return heard
-	}
-	return i.common.Started.Add(firstRead - i.common.Settings.ContactLimit)
-}
-
 // watchFrom is what to ask of the platform; a plain read waits for nothing.
 func (i *Instance) watchFrom(plain bool, wait time.Duration) (tarragonwell.Position, time.Duration) {
 	if plain {
@@ -291,10 +286,12 @@
 // routing is what callers' requests are matched against, or nil before the
 // instance has learnt from peers what is in force and which targets leave.
 func (i *Instance) routing() *caller.Routing {
-	if !i.joined.Load() {
+	select {
+	case <-i.joined:
+		return i.documents.Routing()
+	default:
 		return nil
 	}
-	return i.documents.Routing()
 }
 
 // revision is the highest that was accepted or refused.
@@ -343,6 +340,7 @@
 			Dialect:    i.surroundings.Callers,
 			Operations: i.operations,
 			Routing:    i.routing,
+			Joined:     i.joined,
 			Leaving:    i.leaving.Load,
 		}).HTTP(),
 		peers: &http.Server{
--- a/internal/instance/join.go
+++ b/internal/instance/join.go
@@ -6,43 +6,31 @@
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/membership"
 )
 
 const (
-	joinPoll = 50 * time.Millisecond
+	// joinCheck is how often a new instance looks whether it has learnt enough.
+	joinCheck = 20 * time.Millisecond
+	joinPoll  = 50 * time.Millisecond
 	// slowJoinPoll is reached by doubling, so that a whole fleet that starts does
 	// not press on its seeds.
 	slowJoinPoll = 400 * time.Millisecond
 	// greeted is how many peers a new instance asks before it is ready.
 	greeted = 8
-	// joinPatience is how long an instance that has rules still waits for a peer
-	// to answer, where peers are known.
-	joinPatience = 3 * time.Second
 )
 
-// join waits until the instance may serve: it has accepted rules, and either a
-// peer has told what is in force, or no peer that is known answers. So a new
-// instance does not serve older rules than it could have learnt, also where
-// the platform is stale.
+// join waits until the instance has learnt enough to serve.
 func (i *Instance) join(ctx context.Context) {
-	begin := i.common.Clock.Now()
-	poll := joinPoll
-	for ctx.Err() == nil {
-		newest, answered, asked := i.greet(ctx)
-		rules := i.documents.Rules()
-		late := i.common.Clock.Now().Sub(begin) > joinPatience
-		if rules != nil && !newest.After(rules.Version) && (answered > 0 || asked == 0 && i.documents.published.Load().listRevision > 0 || late) {
-			break
-		}
-		wait(ctx, poll)
-		poll = min(2*poll, slowJoinPoll)
-	}
-	if ctx.Err() != nil {
+	learnt, ok := i.learn(ctx)
+	if !ok {
 		return
 	}
-	// What peers told of targets reaches the services meanwhile.
-	wait(ctx, joinPoll)
-	i.joined.Store(true)
+	if learnt.Answered > 0 {
+		// What peers told of targets reaches the services meanwhile.
+		wait(ctx, joinPoll)
+	}
+	close(i.joined)
 	i.peers.SetState(tarragonwell.MemberServing)
 	i.ready.Store(true)
 	i.common.Change(tarragonwell.AuditRecord{
@@ -53,21 +41,80 @@
 	})
 }
 
-// greet asks a few known peers for their news and returns the newest version
-// of the rules among them.
-func (i *Instance) greet(ctx context.Context) (newest tarragonwell.RulesVersion, answered, asked int) {
+// learn asks peers, while the platform's watcher reads, until the instance has
+// learnt enough. It returns false where ctx ends before.
+func (i *Instance) learn(ctx context.Context) (*membership.Learnt, bool) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	greetings := make(chan greeting)
+	go i.greetAll(ctx, greetings)
+	ticker := time.NewTicker(joinCheck)
+	defer ticker.Stop()
+	learnt := &membership.Learnt{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case g := <-greetings:
+			learnt.Asked = g.asked
+			learnt.Answered = g.answered
+			learnt.Newest = g.newest
+		case <-ticker.C:
+		}
+		i.lookAround(learnt)
+		if learnt.Enough() {
+			return learnt, true
+		}
+	}
+}
+
+// lookAround takes in what the instance has in force by now.
+func (i *Instance) lookAround(l *membership.Learnt) {
+	if rules := i.documents.Rules(); rules != nil {
+		l.Rules = rules.Version
+	}
+	l.List = i.documents.published.Load().listRevision
+	if p := i.latestRead.Load(); p != nil {
+		l.Read = *p
+	}
+	l.Waited = i.common.Clock.Now().Sub(i.common.Started)
+}
+
+// greeting is what a round of questions to peers brought.
+type greeting struct {
+	newest   tarragonwell.RulesVersion
+	answered int
+	asked    int
+}
+
+// greetAll asks peers for their news until ctx ends, less and less often.
+func (i *Instance) greetAll(ctx context.Context, out chan<- greeting) {
+	for poll := joinPoll; ctx.Err() == nil; poll = min(2*poll, slowJoinPoll) {
+		select {
+		case out <- i.greet(ctx):
+		case <-ctx.Done():
+		}
+		wait(ctx, poll)
+	}
+}
+
+// greet asks a few known peers for their news.
+func (i *Instance) greet(ctx context.Context) greeting {
 	addresses := i.otherAddresses()
 	rand.Shuffle(len(addresses), func(a, b int) {
 		addresses[a], addresses[b] = addresses[b], addresses[a]
 	})
 	addresses = addresses[:min(len(addresses), greeted)]
+	g := greeting{
+		asked: len(addresses),
+	}
 	for _, v := range i.peers.Greet(ctx, addresses) {
-		answered++
-		if v.After(newest) {
-			newest = v
+		g.answered++
+		if v.After(g.newest) {
+			g.newest = v
 		}
 	}
-	return newest, answered, len(addresses)
+	return g
 }
 
 // otherAddresses lists the peers on the settings' and the platform's lists.
--- /dev/null
+++ b/pkg/tarragonwell/membership/learnt.go
@@ -0,0 +1,53 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// joinPatience is how long an instance that has rules still waits for a peer to
+// answer, where peers are known.
+const joinPatience = 3 * time.Second
+
+// Learnt is what a new instance has learnt since it started. The zero value has
+// learnt nothing.
+type Learnt struct {
+	// Rules is the version in force; zero for none.
+	Rules tarragonwell.RulesVersion
+	// List is the revision of the list of targets that was taken in; 0 for none.
+	List uint64
+	// Read is what the platform had published when it answered the instance
+	// itself; zero before, and where the platform may show earlier revisions.
+	Read tarragonwell.Position
+	// Newest is the newest version of the rules that a peer told of.
+	Newest tarragonwell.RulesVersion
+	// Asked and Answered count peers in the latest round.
+	Asked    int
+	Answered int
+	// Waited is the time since the start.
+	Waited time.Duration
+}
+
+// Enough reports whether the instance may take calls: nothing that it has learnt
+// of is newer than its rules, and it has learnt from the platform itself or from
+// a peer what is in force. So it serves no older rules than it could have learnt,
+// also where the platform is stale.
+func (l *Learnt) Enough() bool {
+	if l.Rules.Same(tarragonwell.RulesVersion{}) || l.Newest.After(l.Rules) {
+		return false
+	}
+	if l.Waited > joinPatience {
+		return true
+	}
+	if l.List == 0 {
+		return false
+	}
+	return l.read() || l.Answered > 0 || l.Asked == 0
+}
+
+// read reports whether the instance has taken in what it read from a platform
+// that always shows the latest.
+func (l *Learnt) read() bool {
+	return l.Read.List > 0 && l.List >= l.Read.List && l.Rules.Revision >= l.Read.Rules
+}
--- /dev/null
+++ b/pkg/tarragonwell/membership/learnt_test.go
@@ -0,0 +1,155 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+func TestNewInstancesServeOnlyWhatIsInForce(t *testing.T) {
+	version := func(n uint64) tarragonwell.RulesVersion {
+		return tarragonwell.RulesVersion{
+			Revision: n,
+			Digest:   []byte{1},
+		}
+	}
+	tests := []struct {
+		name   string
+		learnt Learnt
+		want   bool
+	}{
+		{
+			name: "nothing",
+		},
+		{
+			name: "no rules for a long time",
+			learnt: Learnt{
+				List:   5,
+				Waited: time.Minute,
+			},
+		},
+		{
+			name: "all that the platform told, while no seed is back",
+			learnt: Learnt{
+				Rules: version(3),
+				List:  5,
+				Read: tarragonwell.Position{
+					Rules: 3,
+					List:  5,
+				},
+				Asked: 2,
+			},
+			want: true,
+		},
+		{
+			name: "rules from a peer, the list of the platform not yet taken in",
+			learnt: Learnt{
+				Rules: version(3),
+				List:  4,
+				Read: tarragonwell.Position{
+					Rules: 3,
+					List:  5,
+				},
+				Asked: 2,
+			},
+		},
+		{
+			name: "a peer has newer rules than the platform told",
+			learnt: Learnt{
+				Rules: version(3),
+				List:  5,
+				Read: tarragonwell.Position{
+					Rules: 3,
+					List:  5,
+				},
+				Newest:   version(4),
+				Asked:    2,
+				Answered: 1,
+			},
+		},
+		{
+			name: "rules and list of a peer, while the platform is away",
+			learnt: Learnt{
+				Rules:    version(3),
+				List:     5,
+				Newest:   version(3),
+				Asked:    2,
+				Answered: 1,
+			},
+			want: true,
+		},
+		{
+			name: "rules without a list",
+			learnt: Learnt{
+				Rules:    version(3),
+				Newest:   version(3),
+				Asked:    2,
+				Answered: 1,
+			},
+		},
+		{
+			name: "no peer answers, and the platform may show earlier revisions",
+			learnt: Learnt{
+				Rules: version(3),
+				List:  5,
+				Asked: 2,
+			},
+		},
+		{
+			name: "no peer has answered for a long time",
+			learnt: Learnt{
+				Rules:  version(3),
+				Asked:  2,
+				Waited: time.Minute,
+			},
+			want: true,
+		},
+		{
+			name: "no peers",
+			learnt: Learnt{
+				Rules: version(3),
+				List:  5,
+			},
+			want: true,
+		},
+	}
+	for _, x := range tests {
+		if got := x.learnt.Enough(); got != x.want {
+			t.Errorf("%s: got %v, want %v", x.name, got, x.want)
+		}
+	}
+}
+
+// TestFewReadersWhileAFleetStarts holds that instances which all start at once,
+// and know their seeds at most, do not all watch the platform.
+func TestFewReadersWhileAFleetStarts(t *testing.T) {
+	const instances = 100
+	lonely, informed := 0, 0
+	for n := range instances {
+		v := viewOf(n)
+		v.Began = start
+		v.Seeds = []string{"10.9.9.9:1"}
+		if v.IsReader(start, 2) {
+			lonely++
+		}
+		for k := range instances {
+			v.Merge(start, memberOf(k, 0, 1, tarragonwell.MemberStarting))
+		}
+		if v.IsReader(start, 2) {
+			informed++
+		}
+	}
+	if lonely != 0 {
+		t.Errorf("readers that have heard of nobody: got %d, want 0", lonely)
+	}
+	if got, want := informed, 2; got != want {
+		t.Errorf("readers among those that start: got %d, want %d", got, want)
+	}
+	v := viewOf(0)
+	v.Began = start
+	v.Seeds = []string{"10.9.9.9:1"}
+	if !v.IsReader(start.Add(lonelyFor), 2) {
+		t.Errorf("the last one left: got no reader, want one")
+	}
+}
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -31,7 +31,9 @@
 	Self tarragonwell.Member
 	// Seeds are addresses on the settings' and the platform's lists. One that
 	// was never heard of is tried now and then.
-	Seeds   []string
+	Seeds []string
+	// Began is when the instance began to look for others; zero for long ago.
+	Began   time.Time
 	records map[string]*record
 	holders map[tarragonwell.Incarnation]tarragonwell.Holder
 	leaving map[TargetKey]time.Time
@@ -220,13 +222,22 @@
 	return v.records[address] != nil || slices.Contains(v.Seeds, address)
 }
 
+// lonelyFor is how long a new instance that has heard of nobody takes itself for
+// one of many.
+const lonelyFor = 3 * time.Second
+
 // IsReader reports whether the instance is one of the n that watch the
 // platform for the others. Two instances with different views may both be.
+// Those that start count: else all would be readers when a fleet starts.
 func (v *View) IsReader(now time.Time, n int) bool {
+	alive := v.Alive(now)
+	if len(alive) == 0 && len(v.unheard()) > 0 && now.Sub(v.Began) < lonelyFor {
+		return false
+	}
 	rank := 0
 	own := xxhash.Sum64(v.Self.Incarnation[:])
-	for _, m := range v.Alive(now) {
-		if m.State == tarragonwell.MemberServing && xxhash.Sum64(m.Incarnation[:]) < own {
+	for _, m := range alive {
+		if m.State <= tarragonwell.MemberServing && xxhash.Sum64(m.Incarnation[:]) < own {
 			rank++
 		}
 	}
