Ask targets of other data centers where those near are nearly full

Calls left a data center only once its targets were filled to 1.2 of their slots, and far targets, which nobody had asked, were taken for as full as those near.

Change: where the targets near that were asked lately are filled to 0.85, the second round of questions goes to ten preferred targets of other data centers, and those that answer are candidates beside those near; cost decides. Far targets have a mean of their own.

--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -97,6 +97,8 @@
 	// Fill is the share of its slots up to which a target is given calls; 0 for
 	// the usual.
 	Fill float64
+	// MeanOthersFar is MeanOthers at targets of other data centres.
+	MeanOthersFar float64
 	// MeanSlowness is the mean that targets report, in parts of the usual; 0
 	// where none has.
 	MeanSlowness float64
--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -37,6 +37,9 @@
 	enoughNear = 4
 	// enoughPreferred is the number of preferred targets with room that will do.
 	enoughPreferred = 6
+	// enoughFar is the number of preferred targets of other data centres that
+	// will do.
+	enoughFar = 4
 	// askedLately is the age up to which the answer of a target that was asked
 	// makes it a candidate.
 	askedLately = 40 * time.Millisecond
@@ -65,67 +68,32 @@
 	awake := func(t *tarragonwell.TargetState) bool {
 		return !Stalled(now, t, in.ShortLatency)
 	}
-	room := func(t *tarragonwell.TargetState) bool {
-		return awake(t) && hasRoom(now, t, in)
-	}
-	preferred := func(t *tarragonwell.TargetState) bool { return t.Preferred && room(t) }
-	if c.collect(targets, preferred) && len(c.candidates) >= enoughPreferred {
-		return c.bestOfSample(now, in, targets)
-	}
-	local := func(t *tarragonwell.TargetState) bool { return t.Local && room(t) }
-	if c.collect(targets, local) && enough(in.Kind, len(c.candidates)) {
-		return c.bestOfSample(now, in, targets)
-	}
-	if c.collect(targets, room) {
-		return c.bestOfSample(now, in, targets)
+	for _, x := range tiersOf(now, in) {
+		if c.collect(targets, func(t *tarragonwell.TargetState) bool { return x.keep(t) && awake(t) }) >= x.least {
+			return c.bestOfSample(now, in, targets)
+		}
 	}
-	if !c.collect(targets, awake) {
+	if c.collect(targets, awake) == 0 {
 		return c.leastOwn(targets)
 	}
-	if !in.Entitled || !c.collect(targets, func(t *tarragonwell.TargetState) bool {
+	if !in.Entitled || c.collect(targets, func(t *tarragonwell.TargetState) bool {
 		return awake(t) && t.InFlight < rampLimit(now, t, in.Ramp)
-	}) {
+	}) == 0 {
 		return -1
 	}
 	return c.bestOfSample(now, in, targets)
 }
 
 // collect sets the candidates to the targets that keep returns true for and
-// reports whether there are any.
-func (c *AdaptiveChooser) collect(targets []*tarragonwell.TargetState, keep func(*tarragonwell.TargetState) bool) bool {
+// returns their number.
+func (c *AdaptiveChooser) collect(targets []*tarragonwell.TargetState, keep func(*tarragonwell.TargetState) bool) int {
 	c.candidates = c.candidates[:0]
 	for i, t := range targets {
 		if keep(t) {
 			c.candidates = append(c.candidates, i)
 		}
 	}
-	return len(c.candidates) > 0
-}
-
-// enough reports whether so many targets of the own data centre will do for a
-// kind. Kinds that are not kept near use the others besides a few.
-func enough(k *tarragonwell.Kind, near int) bool {
-	return !k.Roams || near >= enoughNear
-}
-
-// Near returns the targets that a call of a kind is placed on by preference.
-func Near(targets []*tarragonwell.TargetState, k *tarragonwell.Kind) []*tarragonwell.TargetState {
-	var preferred, near []*tarragonwell.TargetState
-	for _, t := range targets {
-		if t.Preferred {
-			preferred = append(preferred, t)
-		}
-		if t.Local {
-			near = append(near, t)
-		}
-	}
-	if len(preferred) >= enoughPreferred {
-		return preferred
-	}
-	if len(near) > 0 && enough(k, len(near)) {
-		return near
-	}
-	return targets
+	return len(c.candidates)
 }
 
 // bestOfSample returns the candidate with the lowest cost among those that were
@@ -182,15 +150,22 @@
 
 // Occupancy estimates the calls at a target. A report fades towards what the
 // target usually reports, for it says less and less of the present.
+//
+// Targets of other data centres are heard of rarely: their reports fade towards
+// the mean of all these.
 func Occupancy(now time.Time, t *tarragonwell.TargetState, in tarragonwell.ChoiceInput) float64 {
+	mean, usual := in.MeanOthers, t.UsualOthers
+	if !t.Local && in.Fill > 0 {
+		mean, usual = in.MeanOthersFar, in.MeanOthersFar
+	}
 	if t.ReportedAt.IsZero() {
-		return float64(t.InFlight) + in.MeanOthers
+		return float64(t.InFlight) + mean
 	}
 	life := max(minNewsLife, newsLifeLatencies*in.ShortLatency)
 	fresh := math.Exp(-float64(now.Sub(t.ReportedAt)) / float64(life))
-	others := t.Others*fresh + t.UsualOthers*(1-fresh)
+	others := t.Others*fresh + usual*(1-fresh)
 	if t.Slowdown > suspectSlowdown {
-		others = max(others, in.MeanOthers)
+		others = max(others, mean)
 	}
 	return float64(t.InFlight) + others
 }
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -94,6 +94,10 @@
 	// targets that slow down when nearly full; 0 for the usual, which is more
 	// than all.
 	Fill float64
+	// Spill is the share of its slots from which a target counts as nearly full,
+	// so that targets of other data centres are asked for their load too; 0 for
+	// never.
+	Spill float64
 	// HealthPath is asked for load; empty for the usual.
 	HealthPath string
 	Ramp       time.Duration
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -19,7 +19,9 @@
 	// slowdownSmoothing is higher, for a target's speed shifts in milliseconds.
 	slowdownSmoothing = 0.25
 	othersSmoothing   = 0.05
-	usualSmoothing    = 0.15
+	// othersFarSmoothing is higher, as there are few reports of far targets.
+	othersFarSmoothing = 0.15
+	usualSmoothing     = 0.15
 	// percent is the unit of reports of slowness.
 	percent = 100
 	// maxObservedSlowdown bounds what one call can say.
@@ -190,7 +192,11 @@
 	t.Others = math.Max(0, float64(l.Total()-t.InFlight))
 	t.ReportedAt = now
 	t.UsualOthers = smooth(t.UsualOthers, t.Others, usualSmoothing)
-	s.meanOthers = smooth(s.meanOthers, t.Others, othersSmoothing)
+	if t.Local || s.options.Service.Spill == 0 {
+		s.meanOthers = smooth(s.meanOthers, t.Others, othersSmoothing)
+	} else {
+		s.meanOthersFar = smooth(s.meanOthersFar, t.Others, othersFarSmoothing)
+	}
 }
 
 // CountProbe counts a probe in the target's state.
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -45,6 +45,8 @@
 	inFlightLong int
 	shortLatency time.Duration
 	meanOthers   float64
+	// meanOthersFar is the same at targets of other data centres.
+	meanOthersFar float64
 	// meanSlowness is over all reports; 0 before the first.
 	meanSlowness float64
 	// shortDemand is what long work makes room for.
@@ -357,12 +359,13 @@
 
 func (s *Scheduler) choiceInput(w *admission.Waiter) tarragonwell.ChoiceInput {
 	return tarragonwell.ChoiceInput{
-		Kind:         w.Kind,
-		ShortLatency: s.shortLatency,
-		MeanOthers:   s.meanOthers,
-		Ramp:         s.options.Service.Ramp,
-		Entitled:     !w.Spare && s.options.Service.Fill == 0 && s.entitled(w.Kind),
-		Fill:         s.fillOf(w),
-		MeanSlowness: s.meanSlowness,
+		Kind:          w.Kind,
+		ShortLatency:  s.shortLatency,
+		MeanOthers:    s.meanOthers,
+		Ramp:          s.options.Service.Ramp,
+		Entitled:      !w.Spare && s.options.Service.Fill == 0 && s.entitled(w.Kind),
+		Fill:          s.fillOf(w),
+		MeanOthersFar: s.meanOthersFar,
+		MeanSlowness:  s.meanSlowness,
 	}
 }
--- a/pkg/tarragonwell/scheduling/survey.go
+++ b/pkg/tarragonwell/scheduling/survey.go
@@ -42,13 +42,40 @@
 
 // Survey draws the targets that are asked for their load before a call is
 // placed: a few at a time, none once one of those that were asked lately is
-// good. round counts from 0. It returns none where the budget is spent.
+// good. round counts from 0. From the second round on targets of other data
+// centers are asked where none near has room to spare. It returns none where the
+// budget is spent.
 func (s *Scheduler) Survey(now time.Time, r Request, round int) []string {
 	most := min(surveyBatch, s.options.Service.Survey-round*surveyBatch)
-	return s.draw(now, &admission.Waiter{
+	if most <= 0 {
+		return nil
+	}
+	usable := s.usable(now, &admission.Waiter{
 		Kind:    r.Kind,
 		Exclude: r.Exclude,
-	}, most)
+	})
+	near := policy.Near(usable, r.Kind)
+	if round > 0 && r.Kind.Roams && s.full(now, near) {
+		return s.draw(now, policy.Far(usable), most)
+	}
+	return s.draw(now, near, most)
+}
+
+// full reports whether those of the targets that were asked lately have no room
+// to spare.
+func (s *Scheduler) full(now time.Time, targets []*tarragonwell.TargetState) bool {
+	spill := s.options.Service.Spill
+	asked := false
+	for _, t := range targets {
+		if now.Sub(t.AskedAt) >= askedLately {
+			continue
+		}
+		asked = true
+		if t.Taken()+1 <= spill*float64(t.Slots) {
+			return false
+		}
+	}
+	return asked && spill > 0
 }
 
 // SurveyForWaiting draws targets that are asked on behalf of the calls that
@@ -60,27 +87,23 @@
 		return nil
 	}
 	s.surveyedForWaiting = now
-	return s.draw(now, first, min(waitingSurvey, s.options.Service.Survey))
+	return s.draw(now, policy.Near(s.usable(now, first), first.Kind), min(waitingSurvey, s.options.Service.Survey))
 }
 
-// draw picks up to most targets at random, as far as the budget goes. Those that
-// were asked lately count among them.
-func (s *Scheduler) draw(now time.Time, w *admission.Waiter, most int) []string {
-	if most <= 0 {
-		return nil
-	}
-	near := policy.Near(s.usable(now, w), w.Kind)
-	if len(near) < 2 {
+// draw picks up to most of the targets at random, as far as the budget goes; none
+// where one of them is good.
+func (s *Scheduler) draw(now time.Time, targets []*tarragonwell.TargetState, most int) []string {
+	if len(targets) < 2 {
 		return nil
 	}
-	for _, t := range near {
+	for _, t := range targets {
 		if s.good(now, t) {
 			return nil
 		}
 	}
 	var ask []string
-	for _, i := range rand.Perm(len(near)) {
-		t := near[i]
+	for _, i := range rand.Perm(len(targets)) {
+		t := targets[i]
 		if now.Sub(t.AskedAt) < askedLately {
 			continue
 		}
@@ -95,8 +118,7 @@
 // good reports whether a target has told lately that it is quiet and has room
 // to spare, so that asking others would gain little.
 func (s *Scheduler) good(now time.Time, t *tarragonwell.TargetState) bool {
-	taken := float64(t.InFlight) + t.Others
-	return now.Sub(t.AskedAt) < askedLately && t.Slowness <= goodSlowness && taken <= goodShare*float64(t.Slots)
+	return now.Sub(t.AskedAt) < askedLately && t.Slowness <= goodSlowness && t.Taken() <= goodShare*float64(t.Slots)
 }
 
 // TakeAnswer takes in the answer to a question for a target's load.
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -93,8 +93,12 @@
 
 // preferredTargets is how many targets of the own data center an instance
 // prefers where there are more: few enough to keep connections and news of them
-// warm, enough to choose from.
-const preferredTargets = 24
+// warm, enough to choose from. preferredFar is the same for the other data
+// centers together.
+const (
+	preferredTargets = 24
+	preferredFar     = 10
+)
 
 // prefer marks the preferred targets by rendezvous hashing with the instance,
 // so that the instances spread over all targets. It reorders the list.
@@ -105,11 +109,15 @@
 	slices.SortFunc(list, func(a, b *tarragonwell.TargetState) int {
 		return cmp.Compare(weight(a), weight(b))
 	})
-	left := preferredTargets
+	near, far := preferredTargets, preferredFar
 	for _, t := range list {
-		t.Preferred = t.Local && left > 0 && !t.ListedLeaving && !t.Lapsed
+		left := &far
+		if t.Local {
+			left = &near
+		}
+		t.Preferred = *left > 0 && !t.ListedLeaving && !t.Lapsed
 		if t.Preferred {
-			left--
+			*left--
 		}
 	}
 }
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -66,7 +66,8 @@
 	// long enough to be certain that the target is. It is a last resort.
 	Lapsed bool
 	// Preferred says that the target is one of those that the instance keeps its
-	// connections to, where there are many.
+	// connections to, where there are many: more of the own data centre, a few of
+	// the others.
 	Preferred bool
 	// LongRank orders the targets of a service for long work, from 0. It is the
 	// same on every instance with the same list.
@@ -82,3 +83,9 @@
 func (t *TargetState) Leaving(now time.Time) bool {
 	return t.ListedLeaving || now.Before(t.LeavingUntil)
 }
+
+// Taken is the number of calls at the target by its latest report and the
+// instance's own count.
+func (t *TargetState) Taken() float64 {
+	return float64(t.InFlight) + t.Others
+}
