Tell callers that return by what first callers bring

Late calls get 0.65 of the room, go last and wait an eighth of the objective, so first callers were refused with room and came back after 0.3 of 12 s.

Change: the 0.9 quantile of what callers bring is estimated, and a caller has waited by what it lacks to 0.85 of that. Test: TestCallersThatBringLessTimeAreNotLate.

--- a/pkg/tarragonwell/scheduling/crest_test.go
+++ b/pkg/tarragonwell/scheduling/crest_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/policy"
 )
 
@@ -298,3 +299,40 @@
 		}
 	}
 }
+
+// TestCallersThatBringLessTimeAreNotLate holds that callers whose patience
+// differs, as it does where none was refused, are told from those that return.
+func TestCallersThatBringLessTimeAreNotLate(t *testing.T) {
+	s := newFilling(1)
+	s.stats(timed).take(usualTime)
+	r := rand.New(rand.NewPCG(3, 4))
+	brings := func() time.Duration {
+		if r.IntN(20) == 0 {
+			// Some wait for twice as long.
+			return 6 * time.Second
+		}
+		return time.Duration(float64(3*time.Second) * (0.85 + 0.15*r.Float64()))
+	}
+	late, returned := 0, 0
+	const calls = 2000
+	for n := range calls {
+		first := brings()
+		w := &admission.Waiter{
+			Kind: timed,
+		}
+		s.setPatience(start, w, first)
+		if n >= calls/2 && w.Late {
+			late++
+		}
+		s.setPatience(start, w, min(first, 3*time.Second)-900*time.Millisecond)
+		if n >= calls/2 && w.Late {
+			returned++
+		}
+	}
+	if late > calls/2/20 {
+		t.Errorf("first attempts: got %d of %d late, want at most one in twenty", late, calls/2)
+	}
+	if returned < calls/2*9/10 {
+		t.Errorf("returning callers: got %d of %d late, want nine in ten", returned, calls/2)
+	}
+}
--- a/pkg/tarragonwell/scheduling/patience.go
+++ b/pkg/tarragonwell/scheduling/patience.go
@@ -29,11 +29,10 @@
 		return
 	}
 	k := s.stats(w.Kind)
-	k.longest = max(k.longest, left)
 	w.CallerLeft = left
 	waited := time.Duration(0)
 	if left > 0 {
-		waited = k.longest - left
+		waited = k.waited(left)
 	}
 	useful := objective - waited - k.mean()
 	w.Late = useful <= 0
--- a/pkg/tarragonwell/scheduling/stats.go
+++ b/pkg/tarragonwell/scheduling/stats.go
@@ -11,7 +11,14 @@
 	// hedgeQuantile is the share of calls that end before a hedge is sent.
 	hedgeQuantile = 0.92
 	// quantileStep is the step of the estimate, in parts of the mean.
-	quantileStep  = 0.05
+	quantileStep = 0.05
+	// broughtQuantile is below the few callers that wait for much longer than the
+	// others.
+	broughtQuantile = 0.9
+	broughtStep     = 0.005
+	// broughtSpread is the part of that which every caller brings that was not
+	// refused before.
+	broughtSpread = 0.85
 	minHedgeDelay = 2 * time.Millisecond
 	// rateWindow is the time over which the rate of grants is measured.
 	rateWindow = 100 * time.Millisecond
@@ -22,10 +29,26 @@
 	// latency is smoothed, in nanoseconds; 0 before the first call.
 	latency float64
 	// late estimates the hedgeQuantile of the latency, in nanoseconds.
-	late float64
-	// longest is the most time that a caller has brought, with which first
-	// attempts come.
-	longest time.Duration
+	late quantile
+	// brought estimates the broughtQuantile of the time that callers bring, in
+	// nanoseconds.
+	brought quantile
+}
+
+// quantile estimates a quantile of what it takes in, in nanoseconds. The zero
+// value has taken in nothing.
+type quantile struct {
+	value float64
+}
+
+// take moves the estimate up by a part of step for a larger value and down by
+// the rest of it for any other, which balances where the given share is smaller.
+func (q *quantile) take(x, share, step float64) {
+	if x > q.value {
+		q.value += step * share
+	} else {
+		q.value -= step * (1 - share)
+	}
 }
 
 func (s *Scheduler) stats(k *tarragonwell.Kind) *kindStats {
@@ -41,20 +64,26 @@
 	return time.Duration(k.latency)
 }
 
-// take moves the estimate of the quantile up by a large step for a late call and
-// down by a small one for any other, which balances at the quantile.
+// take takes in the latency of a call.
 func (k *kindStats) take(latency time.Duration) {
 	x := float64(latency)
 	k.latency = smooth(k.latency, x, latencySmoothing)
-	if k.late == 0 {
-		k.late = 2 * x
+	if k.late.value == 0 {
+		k.late.value = 2 * x
 	}
-	step := quantileStep * k.latency
-	if x > k.late {
-		k.late += step * hedgeQuantile
-	} else {
-		k.late -= step * (1 - hedgeQuantile)
+	k.late.take(x, hedgeQuantile, quantileStep*k.latency)
+}
+
+// waited takes in the time that a caller brings and returns how long it has
+// waited at least. Those that come for the first time bring more than those that
+// were refused before; callers differ by the spread all the same.
+func (k *kindStats) waited(left time.Duration) time.Duration {
+	x := float64(left)
+	if k.brought.value == 0 {
+		k.brought.value = x
 	}
+	k.brought.take(x, broughtQuantile, broughtStep*k.brought.value)
+	return max(0, time.Duration(broughtSpread*k.brought.value)-left)
 }
 
 // hedgeDelay is 0 before anything was learnt.
@@ -62,7 +91,7 @@
 	if k.latency == 0 {
 		return 0
 	}
-	return max(minHedgeDelay, time.Duration(k.late))
+	return max(minHedgeDelay, time.Duration(k.late.value))
 }
 
 // longReserve is the part of a long kind's deadline that must be left for the
@@ -75,7 +104,7 @@
 	if k.Long {
 		return k.Deadline / longReserve
 	}
-	return time.Duration(s.stats(k).late)
+	return time.Duration(s.stats(k).late.value)
 }
 
 // estimatedWait is the time that a new call would wait.
