Send second attempts while they can still meet the objective

Cause: a second attempt was sent when 92 in 100 calls had ended, after which it is often too late for the objective.

Change: it is sent at the latest when the mean time of a call is left to the objective, and not before 1.3 mean times. Test: TestHedgesComeInTimeForTheObjective.

--- a/pkg/tarragonwell/scheduling/crest_test.go
+++ b/pkg/tarragonwell/scheduling/crest_test.go
@@ -336,3 +336,33 @@
 		t.Errorf("returning callers: got %d of %d late, want nine in ten", returned, calls/2)
 	}
 }
+
+// TestHedgesComeInTimeForTheObjective holds that a second attempt is sent while it
+// can still meet the objective, and not before most calls have ended.
+func TestHedgesComeInTimeForTheObjective(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// late is the time within which nearly all calls end.
+		late, want time.Duration
+	}{
+		{
+			name: "nearly all calls end early",
+			late: 200 * time.Millisecond,
+			want: 200 * time.Millisecond,
+		},
+		{
+			name: "some calls end late",
+			late: 380 * time.Millisecond,
+			want: timed.Objective - usualTime,
+		},
+	} {
+		s := newFilling(1)
+		k := s.stats(timed)
+		k.latency = float64(usualTime)
+		k.late.value = float64(x.late)
+		d := ask(s, start, 1, 3*time.Second)
+		if got := d.Grant.HedgeAfter; got != x.want {
+			t.Errorf("%s: got %v, want %v", x.name, got, x.want)
+		}
+	}
+}
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -325,7 +325,7 @@
 		ID:         w.ID,
 		Target:     usable[i].ID,
 		Join:       usable[i].Join,
-		HedgeAfter: s.stats(w.Kind).hedgeDelay(),
+		HedgeAfter: s.hedgeDelay(now, w),
 	}
 }
 
--- a/pkg/tarragonwell/scheduling/stats.go
+++ b/pkg/tarragonwell/scheduling/stats.go
@@ -20,6 +20,9 @@
 	// refused before.
 	broughtSpread = 0.85
 	minHedgeDelay = 2 * time.Millisecond
+	// soonestHedge is in parts of the mean latency: before that most calls are
+	// still at work in the usual way.
+	soonestHedge = 1.3
 	// rateWindow is the time over which the rate of grants is measured.
 	rateWindow = 100 * time.Millisecond
 )
@@ -86,12 +89,20 @@
 	return max(0, time.Duration(broughtSpread*k.brought.value)-left)
 }
 
-// hedgeDelay is 0 before anything was learnt.
-func (k *kindStats) hedgeDelay() time.Duration {
+// hedgeDelay is the time after which a call that is granted now is sent to a
+// second target: when nearly all calls have ended, or earlier where the second
+// attempt would come too late for the objective. It is 0 before anything was
+// learnt.
+func (s *Scheduler) hedgeDelay(now time.Time, w *admission.Waiter) time.Duration {
+	k := s.stats(w.Kind)
 	if k.latency == 0 {
 		return 0
 	}
-	return max(minHedgeDelay, time.Duration(k.late.value))
+	delay := time.Duration(k.late.value)
+	if !w.GiveUp.IsZero() && !w.Late {
+		delay = min(delay, max(w.GiveUp.Sub(now), time.Duration(soonestHedge*k.latency)))
+	}
+	return max(minHedgeDelay, delay)
 }
 
 // longReserve is the part of a long kind's deadline that must be left for the
