Soak: check that leaving targets get nothing and that work ends with its client

Change: targets leave for longer than the bound, and requests that reach them later from instances that no fault has touched are counted; clients leave long requests, and targets tell when they stopped working on them. Test: TestChecksSeeLeavingTargetsAndClients.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/tarragonwell/tarragonwell/test/standin/prepared"
 )
 
 const (
@@ -12,6 +14,14 @@
 	// contact is how long an instance must have been undisturbed for bounds on
 	// time to hold.
 	contact = 3 * time.Second
+	// drainLimit is the time after which a target that leaves gets nothing.
+	drainLimit = 2 * time.Second
+	// goneLimit is within what time work ends whose client has left, but for
+	// goneShare of it.
+	goneLimit = 500 * time.Millisecond
+	goneShare = 0.25
+	// goneLeast is the number of requests below which shares say nothing.
+	goneLeast = 8
 	// repeatShare and repeatSlack bound the arrivals beyond the first.
 	repeatShare = 0.2
 	repeatSlack = 60
@@ -67,6 +77,8 @@
 	if asked == 0 || float64(recovered) < servedShare*float64(asked) {
 		broken = append(broken, fmt.Sprintf("recovery: %d of %d requests served after everything had healed", recovered, asked))
 	}
+	broken = append(broken, checkLeaving(f, requests, journal)...)
+	broken = append(broken, checkGone(requests, journal)...)
 	for _, name := range f.stopFailures {
 		broken = append(broken, "graceful stop: "+name+" did not end in time")
 	}
@@ -95,3 +107,49 @@
 	}
 	return service != allowed
 }
+
+// checkLeaving holds that targets which leave get nothing from instances that no
+// fault has touched.
+func checkLeaving(f *faults, requests []request, journal []prepared.Run) []string {
+	nodes := map[string]*node{}
+	for _, r := range requests {
+		nodes[r.id] = r.node
+	}
+	var broken []string
+	for _, r := range journal {
+		for _, l := range f.leaves {
+			if r.Target != l.target || r.At.Sub(l.from) <= drainLimit || r.At.After(l.to) {
+				continue
+			}
+			if n := nodes[r.Call]; n != nil && n.inTouch(r.At) {
+				broken = append(broken, fmt.Sprintf("leaving target: %s reached %s from %s %v after its word", r.Call, r.Target, n.name, r.At.Sub(l.from)))
+			}
+		}
+	}
+	return broken
+}
+
+// checkGone holds that targets stop working on what nobody waits for.
+func checkGone(requests []request, journal []prepared.Run) []string {
+	left := map[string]time.Time{}
+	for _, r := range requests {
+		if r.abandoned && !r.operation && r.status == 0 {
+			left[r.id] = r.ended
+		}
+	}
+	all, late := 0, 0
+	for _, r := range journal {
+		at, ok := left[r.Call]
+		if !ok {
+			continue
+		}
+		all++
+		if r.Ended.IsZero() || r.Ended.Sub(at) > goneLimit {
+			late++
+		}
+	}
+	if all < goneLeast || float64(late) <= goneShare*float64(all) {
+		return nil
+	}
+	return []string{fmt.Sprintf("clients that left: %d of %d targets worked on", late, all)}
+}
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -18,6 +18,8 @@
 	clientDeadline = 2 * time.Second
 	clientSlack    = 500 * time.Millisecond
 	clientPause    = 5 * time.Millisecond
+	// leaveAfter is when clients that do not wait for their answer leave.
+	leaveAfter = 2 * workTime
 )
 
 // request is one request of a client and what it was told.
@@ -79,6 +81,9 @@
 		sent:      time.Now(),
 		abandoned: random.IntN(50) == 0,
 	}
+	if r.abandoned && !r.operation {
+		r.path = "/read" + prepared.LongSuffix
+	}
 	method := http.MethodGet
 	var body io.Reader
 	if r.operation {
@@ -88,7 +93,7 @@
 	}
 	wait := clientDeadline + clientSlack
 	if r.abandoned {
-		wait = workTime / 2
+		wait = leaveAfter
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -29,6 +29,15 @@
 	configs []configured
 	// stopFailures names the instances that did not end in time.
 	stopFailures []string
+	// leaves are the times in which targets were to get nothing.
+	leaves []leave
+}
+
+// leave is a target's time between its word that it leaves, as the store has
+// confirmed it, and its return.
+type leave struct {
+	target   string
+	from, to time.Time
 }
 
 // configured is a configuration and when the store confirmed it.
@@ -126,11 +135,15 @@
 		if i%3 == 0 {
 			n.store.set(modeSilent)
 			n.store.reset()
+			n.cut()
 		}
 	}
 	time.Sleep(length)
-	for _, n := range f.world.nodes {
+	for i, n := range f.world.nodes {
 		n.store.set(modePass)
+		if i%3 == 0 {
+			n.cut()
+		}
 	}
 }
 
@@ -140,7 +153,9 @@
 }
 
 func (f *faults) storePath(n *node, _ *backend, length time.Duration, choice int) {
+	n.cut()
 	f.breakPath("store of "+n.name, n.store, length, choice)
+	n.cut()
 }
 
 func (f *faults) peerPath(n *node, _ *backend, length time.Duration, choice int) {
@@ -184,9 +199,15 @@
 	}
 	f.note("%s leaves", b.target.ID)
 	f.world.announce(b, "draining")
-	time.Sleep(length)
+	confirmed := time.Now()
+	time.Sleep(drainLimit + length)
 	f.mu.Lock()
 	b.draining = time.Time{}
+	f.leaves = append(f.leaves, leave{
+		target: b.target.ID,
+		from:   confirmed,
+		to:     time.Now(),
+	})
 	f.mu.Unlock()
 	f.world.announce(b, "ready")
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/test/fleet"
+	"github.com/tarragonwell/tarragonwell/test/standin/prepared"
 )
 
 // TestShortSoak plays seeds of a few seconds, those that ever failed among them.
@@ -71,3 +72,48 @@
 		t.Error("no request that must not repeat was seen to run again")
 	}
 }
+
+// TestChecksSeeLeavingTargetsAndClients holds that work at a target that leaves,
+// and for a client that has left, is noticed, and that faults excuse the first.
+func TestChecksSeeLeavingTargetsAndClients(t *testing.T) {
+	begin := time.Now()
+	n := &node{
+		name: "n",
+	}
+	var requests []request
+	var journal []prepared.Run
+	for k := range goneLeast {
+		id := string(rune('a' + k))
+		requests = append(requests, request{
+			id:        id,
+			node:      n,
+			abandoned: true,
+			ended:     begin,
+		})
+		journal = append(journal, prepared.Run{
+			Call:   id,
+			Target: "i-1",
+			At:     begin.Add(drainLimit + time.Millisecond),
+			Ended:  begin.Add(2 * drainLimit),
+		})
+	}
+	f := &faults{
+		leaves: []leave{
+			{
+				target: "i-1",
+				from:   begin,
+				to:     begin.Add(2 * drainLimit),
+			},
+		},
+	}
+	if got, want := len(checkLeaving(f, requests, journal)), goneLeast; got != want {
+		t.Errorf("work at a target that left: got %d, want %d", got, want)
+	}
+	if got := checkGone(requests, journal); len(got) != 1 {
+		t.Errorf("work for clients that left: got %v, want it noticed", got)
+	}
+	n.faults = []time.Time{begin}
+	if got := checkLeaving(f, requests, journal); len(got) != 0 {
+		t.Errorf("from an instance under a fault: got %v, want none", got)
+	}
+}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -42,6 +42,9 @@
 	process *fleet.Process
 	// disturbed is when the node was last under a fault.
 	disturbed time.Time
+	// faults are the times at which it was under one, cuts from the store among
+	// them.
+	faults []time.Time
 }
 
 func (n *node) current() *fleet.Process {
@@ -54,6 +57,28 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.disturbed = time.Now()
+	n.faults = append(n.faults, n.disturbed)
+}
+
+// cut notes that the node is cut off from the store.
+func (n *node) cut() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults = append(n.faults, time.Now())
+}
+
+// inTouch reports whether no fault was at the node for the usual time before a
+// moment. Faults are noted when they begin and when they end, and are shorter than
+// that time.
+func (n *node) inTouch(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, x := range n.faults {
+		if age := at.Sub(x); age >= 0 && age < contact {
+			return false
+		}
+	}
+	return true
 }
 
 // backend is one target with the path to it.
--- a/test/standin/prepared/target.go
+++ b/test/standin/prepared/target.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,6 +19,9 @@
 	targetSlots = 6
 	targetQueue = 12
 	healthPath  = "/health"
+	// LongSuffix ends the paths of requests that take longWork.
+	LongSuffix = "/long"
+	longWork   = 1500 * time.Millisecond
 )
 
 // Run is one request that a target began to work on.
@@ -26,6 +30,8 @@
 	Call   string
 	Target string
 	At     time.Time
+	// Ended is when the target stopped working on it; zero while it works.
+	Ended time.Time
 }
 
 // Journal records the runs of many targets.
@@ -34,10 +40,18 @@
 	runs []Run
 }
 
-func (j *Journal) add(r Run) {
+// begin adds a run and returns its place.
+func (j *Journal) begin(r Run) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.runs = append(j.runs, r)
+	return len(j.runs) - 1
+}
+
+func (j *Journal) end(place int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs[place].Ended = time.Now()
 }
 
 // Runs returns a copy.
@@ -143,11 +157,15 @@
 		return
 	}
 	defer t.give()
-	t.journal.add(Run{
+	place := t.journal.begin(Run{
 		Call:   call,
 		Target: t.ID,
 		At:     time.Now(),
 	})
+	defer t.journal.end(place)
+	if strings.HasSuffix(r.URL.Path, LongSuffix) {
+		work = longWork
+	}
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
