Ask peers before the store where its word is overdue; ask on at half the slots

Besides, two thirds of the slots and one call more are beyond what the trust's targets bear at full speed.

Change: after 0.72 of the contact limit two peers of the own data centre are asked, for 0.15 s at most, before the instance reads for itself. Test: TestPeersAreAskedBeforeThePlatform. goodShare 0.5.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -234,6 +234,10 @@
 	}
 }
 
+// askedPeers is how many peers are asked whether they have heard from the
+// platform.
+const askedPeers = 2
+
 // watcher keeps one feed of the platform current.
 func (i *Instance) watcher(f tarragonwell.Feed) *platform.Watcher {
 	return &platform.Watcher{
@@ -244,6 +248,9 @@
 			s := i.peers.Snapshot()
 			return s.Reader, s.Contact
 		},
+		AskPeers: func(ctx context.Context) {
+			i.peers.Greet(ctx, i.peers.SomeNear(askedPeers))
+		},
 		Read: func(ctx context.Context, plain bool, wait time.Duration) error {
 			after, wait := i.watchFrom(plain, wait)
 			p, err := f.Watch(ctx, after, wait)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -178,13 +178,22 @@
 
 // SomeAlive draws up to n addresses of peers heard of lately.
 func (p *Peers) SomeAlive(n int) []string {
-	alive := slices.Clone(p.Snapshot().Alive)
-	rand.Shuffle(len(alive), func(i, j int) {
-		alive[i], alive[j] = alive[j], alive[i]
+	return draw(p.Snapshot().Alive, n)
+}
+
+// SomeNear draws up to n addresses of peers of the own data centre heard of
+// lately.
+func (p *Peers) SomeNear(n int) []string {
+	near := slices.DeleteFunc(slices.Clone(p.Snapshot().Alive), func(m tarragonwell.Member) bool {
+		return m.DataCenter != p.options.Common.Settings.DataCenter
 	})
+	return draw(near, n)
+}
+
+func draw(members []tarragonwell.Member, n int) []string {
 	var out []string
-	for _, m := range alive[:min(n, len(alive))] {
-		out = append(out, m.PeerAddress)
+	for _, i := range rand.Perm(len(members))[:min(n, len(members))] {
+		out = append(out, members[i].PeerAddress)
 	}
 	return out
 }
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -13,6 +13,10 @@
 	// is to.
 	idleInterval = 400 * time.Millisecond
 	firstBackoff = 100 * time.Millisecond
+	// overdueShare is the part of the contact limit after which peers are asked.
+	overdueShare = 0.72
+	// askTimeout is short: a peer that is silent must not hold a reading back.
+	askTimeout = 150 * time.Millisecond
 	// plainReadEvery is how often a reader reads without a revision, to find a
 	// revision that was published again with other bytes.
 	plainReadEvery = 16
@@ -29,6 +33,9 @@
 	Read func(ctx context.Context, plain bool, wait time.Duration) error
 	// Restorable says that the platform may show earlier revisions again.
 	Restorable bool
+	// AskPeers asks a few peers whether they have heard from the platform; nil for
+	// never.
+	AskPeers func(ctx context.Context)
 	// Name is the value's name, for logs.
 	Name string
 }
@@ -40,6 +47,7 @@
 	backoff := time.Duration(0)
 	for n := 0; ctx.Err() == nil; n++ {
 		if !w.due() {
+			w.askPeers(ctx)
 			sleep(ctx, w.idle())
 			continue
 		}
@@ -61,6 +69,20 @@
 	}
 }
 
+// askPeers asks peers where the platform's word is overdue, before the instance
+// reads for itself: reads are dear, and a word that was lost on its way has
+// reached most others.
+func (w *Watcher) askPeers(ctx context.Context) {
+	_, contact := w.Reader()
+	overdue := time.Duration(overdueShare * float64(w.Common.Settings.ContactLimit))
+	if w.AskPeers == nil || w.Common.Clock.Now().Sub(contact) < overdue {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	w.AskPeers(ctx)
+}
+
 func (w *Watcher) due() bool {
 	reader, contact := w.Reader()
 	return reader || w.Common.Clock.Now().Sub(contact) > w.Common.Settings.ContactLimit
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -112,3 +112,46 @@
 		}
 	})
 }
+
+// TestPeersAreAskedBeforeThePlatform holds that an instance whose word of the
+// platform is overdue asks peers, and reads only where they have heard nothing
+// either.
+func TestPeersAreAskedBeforeThePlatform(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// told says that the peers have heard.
+		told  bool
+		reads bool
+	}{
+		{
+			name: "peers have heard",
+			told: true,
+		},
+		{
+			name:  "peers have heard nothing",
+			reads: true,
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			contact := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			reads, asked := 0, 0
+			w := watcherOf(t, func() (bool, time.Time) { return false, contact }, func(context.Context, bool, time.Duration) error {
+				reads++
+				contact = time.Now()
+				return nil
+			})
+			w.AskPeers = func(context.Context) {
+				asked++
+				if x.told {
+					contact = time.Now()
+				}
+			}
+			w.Run(ctx)
+			if got := reads > 0; got != x.reads || asked == 0 {
+				t.Errorf("%s: got %d reads and %d questions to peers", x.name, reads, asked)
+			}
+		})
+	}
+}
--- a/pkg/tarragonwell/scheduling/survey.go
+++ b/pkg/tarragonwell/scheduling/survey.go
@@ -21,7 +21,7 @@
 	// A target is good that works at most so much slower than usual, with at most
 	// this share of its slots taken.
 	goodSlowness = 1.2
-	goodShare    = 0.67
+	goodShare    = 0.5
 	// waitingSurveyInterval is the time between two surveys for calls that wait,
 	// of waitingSurvey targets each.
 	waitingSurveyInterval = 20 * time.Millisecond
