Keep the list's words in one place; tell by one condition whether far targets are asked

Cause: a reading: the words of the schema's list stood in two packages, and two conditions decided whether the mean of far targets says something.

--- a/internal/peer/list.go
+++ b/internal/peer/list.go
@@ -1,13 +1,11 @@
 package peer
 
 import (
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
-// ownService is the name under which the system's own instances are listed.
-const ownService = "tarragonwell"
-
 // listMessage turns a change of the list into its message; nil for nil.
 func listMessage(c *tarragonwell.ListChange) *pb.ListChange {
 	if c == nil {
@@ -38,7 +36,7 @@
 	}
 	for _, i := range c.Instances {
 		m.Instances = append(m.Instances, &pb.ListedInstance{
-			Service:     ownService,
+			Service:     common.OwnService,
 			Address:     i.Address,
 			DataCenter:  i.DataCenter,
 			PeerAddress: i.PeerAddress,
@@ -48,16 +46,11 @@
 	return m
 }
 
-const (
-	stateLeaving = "leaving"
-	stateLive    = "live"
-)
-
 func stateText(leaving bool) string {
 	if leaving {
-		return stateLeaving
+		return common.StateLeaving
 	}
-	return stateLive
+	return common.StateLive
 }
 
 // listOf turns a message into a change of the list; nil for nil.
@@ -93,7 +86,7 @@
 			Address:     i.GetAddress(),
 			DataCenter:  i.GetDataCenter(),
 			PeerAddress: i.GetPeerAddress(),
-			Leaving:     i.GetState() == stateLeaving,
+			Leaving:     i.GetState() == common.StateLeaving,
 		})
 	}
 	return c
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -1,24 +1,19 @@
 package platform
 
 import (
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
-const (
-	// ownService is the name under which the system's own instances are listed.
-	ownService   = "tarragonwell"
-	stateLeaving = "leaving"
-)
-
 // listOf turns a message into a whole list.
 func listOf(m *pb.InstanceList) *tarragonwell.ListChange {
 	out := &tarragonwell.ListChange{
 		Revision: m.GetRevision(),
 	}
 	for _, i := range m.GetInstances() {
-		leaving := i.GetState() == stateLeaving
-		if i.GetService() == ownService {
+		leaving := i.GetState() == common.StateLeaving
+		if i.GetService() == common.OwnService {
 			out.Instances = append(out.Instances, tarragonwell.ListedInstance{
 				Address:     i.GetAddress(),
 				PeerAddress: i.GetPeerAddress(),
--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -97,7 +97,9 @@
 	// Fill is the share of its slots up to which a target is given calls; 0 for
 	// the usual.
 	Fill float64
-	// MeanOthersFar is MeanOthers at targets of other data centres.
+	// Spill says that far targets are asked for their load, so that MeanOthersFar,
+	// which is MeanOthers at targets of other data centres, tells of them.
+	Spill         bool
 	MeanOthersFar float64
 	// MeanSlowness is the mean that targets report, in parts of the usual; 0
 	// where none has.
--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -155,7 +155,7 @@
 // the mean of all these.
 func Occupancy(now time.Time, t *tarragonwell.TargetState, in tarragonwell.ChoiceInput) float64 {
 	mean, usual := in.MeanOthers, t.UsualOthers
-	if !t.Local && in.Fill > 0 {
+	if !t.Local && in.Spill {
 		mean, usual = in.MeanOthersFar, in.MeanOthersFar
 	}
 	if t.ReportedAt.IsZero() {
