Send second attempts only where a target stays far from full

Change: a second attempt beside the first goes to a target that is filled to 0.67 of its slots at most with it. Test: TestCrestLeavesSecondAttemptsOut.

--- a/pkg/tarragonwell/scheduling/crest_test.go
+++ b/pkg/tarragonwell/scheduling/crest_test.go
@@ -366,3 +366,38 @@
 		}
 	}
 }
+
+// TestCrestLeavesSecondAttemptsOut holds that a second attempt beside the first
+// goes only to a target that stays far from full.
+func TestCrestLeavesSecondAttemptsOut(t *testing.T) {
+	for _, x := range []struct {
+		running int
+		want    bool
+	}{
+		{
+			running: 1,
+			want:    true,
+		},
+		{
+			running: 3,
+			want:    false,
+		},
+	} {
+		s := newFilling(1)
+		s.options.Service.Fill = 1.2
+		s.TakeAnswer(start, "t00", tarragonwell.LoadReport{
+			Running:  x.running,
+			Slots:    5,
+			Slowness: 100,
+		})
+		d := s.Acquire(start, Request{
+			ID:       1,
+			Kind:     timed,
+			Deadline: start.Add(time.Second),
+			NoWait:   true,
+		})
+		if got := d.Grant != nil; got != x.want {
+			t.Errorf("%d of 5 slots taken: got %v, want %v", x.running, got, x.want)
+		}
+	}
+}
--- a/pkg/tarragonwell/scheduling/patience.go
+++ b/pkg/tarragonwell/scheduling/patience.go
@@ -13,6 +13,9 @@
 	// lateFill is the part of a target's room that is given to calls that can't
 	// meet their objective any more.
 	lateFill = 0.65
+	// spareFill is the share of its slots up to which a target is given second
+	// attempts: at a crest they would make first attempts late.
+	spareFill = 0.67
 	// retryShare is the part of a caller's time after which it is told to return:
 	// late enough for a crest to pass, early enough to return more than once.
 	retryShare = 0.3
@@ -43,10 +46,15 @@
 // the usual. Calls that come too late for their objective leave room for those
 // that do not: served first, they would make these late as well.
 func (s *Scheduler) fillOf(w *admission.Waiter) float64 {
-	if w.Late {
-		return s.options.Service.Fill * lateFill
+	fill := s.options.Service.Fill
+	switch {
+	case w.Spare:
+		return min(fill, spareFill)
+	case w.Late:
+		return fill * lateFill
+	default:
+		return fill
 	}
-	return s.options.Service.Fill
 }
 
 // retryAfter is when a refused caller is told to return.
