Log lost and regained dependencies, and entries that can't be read

Change: dependency-lost and dependency-regained, one line each however many reads fail; entry-unreadable with the reason.

--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -94,6 +94,9 @@
 
 // offer hands on what was read from the platform.
 func (d *documents) offer(p tarragonwell.Publication) {
+	for _, x := range p.Unreadable {
+		d.common.Log.Warn("entry-unreadable", "target", x.ID, "revision", x.Revision, "error", x.Err)
+	}
 	if p.Rules != nil {
 		d.mailbox.Post(rulesOffer{
 			rules: p.Rules,
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -207,6 +207,7 @@
 			}
 		case <-timer.C:
 			st.view.Self.Heartbeat++
+			p.tellLost(st)
 			st.view.Expire(p.options.Common.Clock.Now())
 			p.round(ctx, st, p.options.Common.Settings.FanOut, &exchanges)
 			timer.Reset(interval*3/4 + rand.N(interval/2))
@@ -331,6 +332,14 @@
 	})
 }
 
+// tellLost tells in the log which peers have fallen silent. That they are back is
+// told as a change of theirs.
+func (p *Peers) tellLost(st *state) {
+	for _, m := range st.view.Lost(p.options.Common.Clock.Now()) {
+		p.options.Common.Log.Warn("dependency-lost", "dependency", "peer", "peer", m.PeerAddress, "data-center", m.DataCenter, "state", m.State.String())
+	}
+}
+
 // round exchanges news with a few peers, within the byte budget.
 func (p *Peers) round(ctx context.Context, st *state, fanOut int, exchanges *sync.WaitGroup) {
 	now := p.options.Common.Clock.Now()
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -45,6 +45,9 @@
 func (w *Watcher) Run(ctx context.Context) {
 	s := w.Common.Settings
 	backoff := time.Duration(0)
+	link := dependency{
+		watcher: w,
+	}
 	for n := 0; ctx.Err() == nil; n++ {
 		if !w.due() {
 			w.askPeers(ctx)
@@ -56,10 +59,11 @@
 		begin := w.Common.Clock.Now()
 		if err := w.Read(ctx, plain, s.WatchWait); err != nil {
 			backoff = min(max(firstBackoff, 2*backoff), s.BackoffLimit)
-			w.Common.Log.Debug("platform read failed", "value", w.Name, "error", err)
+			link.failed(err)
 			sleep(ctx, backoff/4+rand.N(backoff))
 			continue
 		}
+		link.answered()
 		backoff = 0
 		if plain {
 			// A plain read returns at once.
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -1,9 +1,11 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,3 +157,33 @@
 		})
 	}
 }
+
+// TestLostAndRegainedPlatformsAreLogged holds that an outage leaves one line when
+// it begins and one when it ends, however many reads fail.
+func TestLostAndRegainedPlatformsAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		l, err := common.NewLogger(&lines, "info", "test")
+		if err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		w := watcherOf(t, func() (bool, time.Time) { return true, begin }, func(ctx context.Context, _ bool, wait time.Duration) error {
+			age := time.Since(begin)
+			if age > 10*time.Second && age < 30*time.Second {
+				return errors.New("down")
+			}
+			sleep(ctx, wait)
+			return nil
+		})
+		w.Common.Log = l
+		w.Run(ctx)
+		for _, want := range []string{"dependency-lost", "dependency-regained"} {
+			if got := strings.Count(lines.String(), want); got != 1 {
+				t.Errorf("%s: got %d lines, want 1:\n%s", want, got, lines.String())
+			}
+		}
+	})
+}
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -77,6 +77,8 @@
 }
 
 func (s *Service) setTargets(ctx context.Context, st *state, targets *sync.WaitGroup, list []tarragonwell.ListedTarget) {
+	before := len(st.handles)
+	defer func() { s.tellEmpty(before, len(st.handles)) }()
 	joined, left := st.scheduler.SetTargets(s.options.Common.Clock.Now(), list)
 	for _, id := range left {
 		delete(st.told, id)
@@ -91,6 +93,18 @@
 	st.configureProbes()
 }
 
+// tellEmpty tells in the log when a service loses its last target or has one
+// again.
+func (s *Service) tellEmpty(before, after int) {
+	log := s.options.Common.Log
+	switch {
+	case before > 0 && after == 0:
+		log.Warn("dependency-lost", "dependency", "targets", "service", s.options.Rule.Name)
+	case before == 0 && after > 0:
+		log.Info("dependency-regained", "dependency", "targets", "service", s.options.Rule.Name, "targets", after)
+	}
+}
+
 // configureProbes sets each target's interval. Only targets of the own data
 // centre are probed, if there are any: calls go elsewhere only to spill over,
 // and bring news themselves then.
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -51,9 +51,12 @@
 	member tarragonwell.Member
 	// heard is when the heartbeat last grew.
 	heard time.Time
+	// silent is set once the peer counted as lost.
+	silent bool
 }
 
-// Merge takes in a record and reports whether the peer is new or changed state.
+// Merge takes in a record and reports whether the peer is new, is back or has
+// changed state.
 func (v *View) Merge(now time.Time, m tarragonwell.Member) bool {
 	if m.PeerAddress == v.Self.PeerAddress || m.PeerAddress == "" {
 		return false
@@ -72,9 +75,10 @@
 	if !supersedes(m, old.member) {
 		return false
 	}
-	changed := m.State != old.member.State || m.Incarnation != old.member.Incarnation
+	changed := m.State != old.member.State || m.Incarnation != old.member.Incarnation || old.silent
 	old.member = m
 	old.heard = now
+	old.silent = false
 	return changed
 }
 
@@ -114,6 +118,20 @@
 	return out
 }
 
+// Lost returns the peers that have not been heard of for some time, without their
+// own word that they go, each once.
+func (v *View) Lost(now time.Time) []tarragonwell.Member {
+	var out []tarragonwell.Member
+	for _, r := range v.records {
+		if r.silent || r.member.State == tarragonwell.MemberGone || now.Sub(r.heard) < aliveFor {
+			continue
+		}
+		r.silent = true
+		out = append(out, r.member)
+	}
+	return out
+}
+
 // Expire forgets what is too old to be of use.
 func (v *View) Expire(now time.Time) {
 	for a, r := range v.records {
--- a/pkg/tarragonwell/published.go
+++ b/pkg/tarragonwell/published.go
@@ -14,6 +14,16 @@
 	Rules *PublishedRules
 	// List is nil where it has not changed.
 	List *ListChange
+	// Unreadable are the entries that were left out.
+	Unreadable []UnreadableEntry
+}
+
+// UnreadableEntry is an entry of the list that names no target to use.
+type UnreadableEntry struct {
+	ID       string
+	Revision uint64
+	// Err tells what is wrong with it.
+	Err error
 }
 
 // PublishedRules is one reading of the rules.
