Serve only after a round of questions to peers where the platform may be stale

A new instance that had read a platform which may show earlier revisions took 'no peers were asked yet' for 'there are no peers', and served what it had read before its peers could answer.

Change: the rounds of questions are counted; nobody to ask counts only after one. The table of TestNewInstancesServeOnlyWhatIsInForce has the case; it failed before.

--- a/internal/instance/join.go
+++ b/internal/instance/join.go
@@ -56,6 +56,7 @@
 		case <-ctx.Done():
 			return nil, false
 		case g := <-greetings:
+			learnt.Rounds++
 			learnt.Asked = g.asked
 			learnt.Answered = g.answered
 			learnt.Newest = g.newest
--- a/pkg/tarragonwell/membership/learnt.go
+++ b/pkg/tarragonwell/membership/learnt.go
@@ -22,6 +22,8 @@
 	Read tarragonwell.Position
 	// Newest is the newest version of the rules that a peer told of.
 	Newest tarragonwell.RulesVersion
+	// Rounds counts the rounds in which peers were asked that have ended.
+	Rounds int
 	// Asked and Answered count peers in the latest round.
 	Asked    int
 	Answered int
@@ -43,7 +45,8 @@
 	if l.List == 0 {
 		return false
 	}
-	return l.read() || l.Answered > 0 || l.Asked == 0
+	nobody := l.Rounds > 0 && l.Asked == 0
+	return l.read() || l.Answered > 0 || nobody
 }
 
 // read reports whether the instance has taken in what it read from a platform
--- a/pkg/tarragonwell/membership/learnt_test.go
+++ b/pkg/tarragonwell/membership/learnt_test.go
@@ -106,11 +106,19 @@
 			want: true,
 		},
 		{
-			name: "no peers",
+			name: "no peer has been asked yet",
 			learnt: Learnt{
 				Rules: version(3),
 				List:  5,
 			},
+		},
+		{
+			name: "no peers",
+			learnt: Learnt{
+				Rules:  version(3),
+				List:   5,
+				Rounds: 1,
+			},
 			want: true,
 		},
 	}
