Count nobody to ask only where the list was known when peers were asked

The first round of questions of an instance whose seeds are its own address asks nobody, as the list has not come yet, and ends at once; it counted as a round.

Change: a greeting carries the revision of the list by which its peers were drawn.

--- a/internal/instance/join.go
+++ b/internal/instance/join.go
@@ -56,7 +56,7 @@
 		case <-ctx.Done():
 			return nil, false
 		case g := <-greetings:
-			learnt.Rounds++
+			learnt.AskedBy = g.list
 			learnt.Asked = g.asked
 			learnt.Answered = g.answered
 			learnt.Newest = g.newest
@@ -83,7 +83,9 @@
 
 // greeting is what a round of questions to peers brought.
 type greeting struct {
-	newest   tarragonwell.RulesVersion
+	newest tarragonwell.RulesVersion
+	// list is the revision of the list by which the peers were drawn.
+	list     uint64
 	answered int
 	asked    int
 }
@@ -101,12 +103,14 @@
 
 // greet asks a few known peers for their news.
 func (i *Instance) greet(ctx context.Context) greeting {
+	list := i.documents.published.Load().listRevision
 	addresses := i.otherAddresses()
 	rand.Shuffle(len(addresses), func(a, b int) {
 		addresses[a], addresses[b] = addresses[b], addresses[a]
 	})
 	addresses = addresses[:min(len(addresses), greeted)]
 	g := greeting{
+		list:  list,
 		asked: len(addresses),
 	}
 	for _, v := range i.peers.Greet(ctx, addresses) {
--- a/pkg/tarragonwell/membership/learnt.go
+++ b/pkg/tarragonwell/membership/learnt.go
@@ -22,8 +22,9 @@
 	Read tarragonwell.Position
 	// Newest is the newest version of the rules that a peer told of.
 	Newest tarragonwell.RulesVersion
-	// Rounds counts the rounds in which peers were asked that have ended.
-	Rounds int
+	// AskedBy is the revision of the list by which the peers of the latest round
+	// were drawn; 0 where there was none, so that some may be unknown.
+	AskedBy uint64
 	// Asked and Answered count peers in the latest round.
 	Asked    int
 	Answered int
@@ -45,7 +46,7 @@
 	if l.List == 0 {
 		return false
 	}
-	nobody := l.Rounds > 0 && l.Asked == 0
+	nobody := l.AskedBy > 0 && l.Asked == 0
 	return l.read() || l.Answered > 0 || nobody
 }
 
--- a/pkg/tarragonwell/membership/learnt_test.go
+++ b/pkg/tarragonwell/membership/learnt_test.go
@@ -106,7 +106,7 @@
 			want: true,
 		},
 		{
-			name: "no peer has been asked yet",
+			name: "none was asked, or known when the list had not come yet",
 			learnt: Learnt{
 				Rules: version(3),
 				List:  5,
@@ -115,9 +115,9 @@
 		{
 			name: "no peers",
 			learnt: Learnt{
-				Rules:  version(3),
-				List:   5,
-				Rounds: 1,
+				Rules:   version(3),
+				List:    5,
+				AskedBy: 5,
 			},
 			want: true,
 		},
