--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	@readelf -d bin/tarragonwell | grep -q 'NEEDED.*libc\.so' || { echo "the program is not linked to the C library"; exit 1; }
 
 unit:
-	$(GO) test -race -timeout 20m ./...
+	$(GO) test -race -count=1 -timeout 20m ./...
 
 demo:
 	$(GO) run ./test/demo
