--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -324,22 +324,6 @@
 // neverAge is told where the platform has never answered.
 const neverAge = 24 * time.Hour
 
-func (p *Peers) memberChanged(m tarragonwell.Member, from string) {
-	p.options.Common.Change(tarragonwell.AuditRecord{
-		Event:      "peer-" + m.State.String(),
-		LearntFrom: from,
-		Detail:     m.PeerAddress + " " + m.DataCenter,
-	})
-}
-
-// tellLost tells in the log which peers have fallen silent. That they are back is
-// told as a change of theirs.
-func (p *Peers) tellLost(st *state) {
-	for _, m := range st.view.Lost(p.options.Common.Clock.Now()) {
-		p.options.Common.Log.Warn("dependency-lost", "dependency", "peer", "peer", m.PeerAddress, "data-center", m.DataCenter, "state", m.State.String())
-	}
-}
-
 // round exchanges news with a few peers, within the byte budget.
 func (p *Peers) round(ctx context.Context, st *state, fanOut int, exchanges *sync.WaitGroup) {
 	now := p.options.Common.Clock.Now()
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -78,7 +78,6 @@
 
 func (s *Service) setTargets(ctx context.Context, st *state, targets *sync.WaitGroup, list []tarragonwell.ListedTarget) {
 	before := len(st.handles)
-	defer func() { s.tellEmpty(before, len(st.handles)) }()
 	joined, left := st.scheduler.SetTargets(s.options.Common.Clock.Now(), list)
 	for _, id := range left {
 		delete(st.told, id)
@@ -90,6 +89,7 @@
 		st.handles[l.ID] = s.startTarget(ctx, st, targets, l)
 		s.change("target-joined", l.ID, "platform")
 	}
+	s.tellEmpty(before, len(st.handles))
 	st.configureProbes()
 }
 
