--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -151,14 +151,12 @@
 	})
 }
 
-// onTargetLeaving drops the announcement if the mailbox is full. The announcement is
-// then lost to the running services: gossip does not deliver it again.
-func (i *Instance) onTargetLeaving(service, id string, expiresAt time.Time, from string) {
+// onTargetLeaving drops the announcement if the mailbox is full; the reconciler's next
+// tick then reads it from the snapshot of the peers.
+func (i *Instance) onTargetLeaving(l tarragonwell.LeavingTarget, from string) {
 	i.reconciler.mailbox.TryPost(leavingAnnouncement{
-		service:   service,
-		id:        id,
-		expiresAt: expiresAt,
-		from:      from,
+		leaving: l,
+		from:    from,
 	})
 }
 
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -31,6 +31,8 @@
 	// fromPlatform is the source of updates that were read from the platform. The
 	// source of all others is the address of a peer.
 	fromPlatform = "platform"
+	// fromPeers is the source of announcements that any peer may have sent.
+	fromPeers = "peer"
 )
 
 // reconciler is the task that owns the rules in force and the latest list of the
@@ -82,6 +84,9 @@
 	maxAlive int
 	// announced is the position last passed to the gossip task.
 	announced tarragonwell.PlatformPosition
+	// appliedLeaving is the Snapshot.LeavingVersion of the announcements that the
+	// services were last given; 0 if they have to be given again.
+	appliedLeaving uint64
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
 }
@@ -108,13 +113,10 @@
 	reply    chan<- *tarragonwell.ListChange
 }
 
-// leavingAnnouncement is a peer's announcement that a target is leaving. The target
-// counts as leaving until the announcement expires.
+// leavingAnnouncement is a peer's announcement that a target is leaving.
 type leavingAnnouncement struct {
-	service   string
-	id        string
-	expiresAt time.Time
-	from      string
+	leaving tarragonwell.LeavingTarget
+	from    string
 }
 
 func newReconciler(c *common.Dependencies) *reconciler {
@@ -173,6 +175,23 @@
 				rc.reconcile(ctx, st, &wg)
 			}
 			rc.updateCounts(st)
+			rc.applyLeaving(st)
+		}
+	}
+}
+
+// applyLeaving passes the announcements of leaving targets to the services, after there
+// were new ones or the targets of a service changed. It delivers those that came before
+// their target or their service, and those that a full mailbox dropped.
+func (rc *reconciler) applyLeaving(st *reconcilerState) {
+	s := rc.peers.Snapshot()
+	if s.LeavingVersion == st.appliedLeaving {
+		return
+	}
+	st.appliedLeaving = s.LeavingVersion
+	for _, l := range s.Leaving {
+		if r := st.running[l.Service]; r != nil {
+			r.dispatcher.MarkLeaving(l, fromPeers)
 		}
 	}
 }
@@ -207,8 +226,8 @@
 			r.dispatcher.ConfirmTargets()
 		}
 	case leavingAnnouncement:
-		if r := st.running[m.service]; r != nil {
-			r.dispatcher.MarkLeaving(m.id, m.expiresAt, m.from)
+		if r := st.running[m.leaving.Service]; r != nil {
+			r.dispatcher.MarkLeaving(m.leaving, m.from)
 		}
 	}
 }
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -48,6 +48,8 @@
 	for _, r := range removed {
 		r.stop()
 	}
+	st.appliedLeaving = 0
+	rc.applyLeaving(st)
 }
 
 // countInstances counts the instances. The upper bound is the highest of the number
@@ -117,12 +119,6 @@
 	wg.Go(func() {
 		s.Run(ctx)
 	})
-	// Peers may have announced leaving targets before the rules arrived.
-	for k, expiresAt := range rc.peers.Snapshot().Leaving {
-		if k.Service == rule.Name {
-			s.MarkLeaving(k.ID, expiresAt, "peer")
-		}
-	}
 	return &runningService{
 		dispatcher: s,
 		stop:       stop,
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// leavingToProto converts the announcement of a leaving target. The schema's address
+// field holds the target's ID.
+func leavingToProto(l tarragonwell.LeavingTarget, now time.Time) *pb.LeavingTarget {
+	return &pb.LeavingTarget{
+		Service:     l.Service,
+		Address:     l.ID,
+		Born:        l.Born,
+		RemainingMs: toMillis(l.ExpiresAt.Sub(now)),
+	}
+}
+
+func leavingFromProto(l *pb.LeavingTarget, now time.Time) tarragonwell.LeavingTarget {
+	return tarragonwell.LeavingTarget{
+		Service:   l.GetService(),
+		ID:        l.GetAddress(),
+		Born:      l.GetBorn(),
+		ExpiresAt: now.Add(min(maxLeavingTTL, fromMillis(l.GetRemainingMs()))),
+	}
+}
+
+// maxLeavingTTL bounds for how long a peer's announcement is effective.
+const maxLeavingTTL = 10 * time.Minute
+
 // toMillis converts a duration to milliseconds, limited to the range 0 to 1<<31.
 func toMillis(d time.Duration) uint32 {
 	return uint32(max(0, min(d.Milliseconds(), 1<<31)))
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
 // newGossip returns the instance's current gossip. If brief is set, it has only the
@@ -30,15 +32,8 @@
 			g.holders = append(g.holders, holderToProto(h, now))
 		}
 	}
-	for k, expiresAt := range st.view.Leaving() {
-		if len(g.leaving) < maxLeaving && expiresAt.After(now) {
-			g.leaving = append(g.leaving, &pb.LeavingTarget{
-				Service: k.Service,
-				// The schema's address field holds the target's ID.
-				Address:     k.ID,
-				RemainingMs: toMillis(expiresAt.Sub(now)),
-			})
-		}
+	for _, l := range p.sampleLeaving(now, st) {
+		g.leaving = append(g.leaving, leavingToProto(l, now))
 	}
 	for k, expiresAt := range st.view.Suspects() {
 		if len(g.suspects) < maxSuspects && expiresAt.After(now) {
@@ -52,3 +47,19 @@
 	}
 	return g
 }
+
+// sampleLeaving returns the announcements of draining targets for one message: the latest
+// ones, and a random sample of the others for peers that missed them.
+func (p *Peers) sampleLeaving(now time.Time, st *state) []tarragonwell.LeavingTarget {
+	list := slices.DeleteFunc(slices.Clone(p.leavingForSnapshot(st)), func(l tarragonwell.LeavingTarget) bool {
+		return !l.ExpiresAt.After(now)
+	})
+	if len(list) <= maxLeaving {
+		return list
+	}
+	others := list[maxLeaving/2:]
+	st.random.Shuffle(len(others), func(i, j int) {
+		others[i], others[j] = others[j], others[i]
+	})
+	return list[:maxLeaving]
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -49,12 +49,9 @@
 	holder tarragonwell.Holder
 }
 
-// leavingAnnouncement announces that a target is draining. The target counts as
-// draining until the announcement expires.
+// leavingAnnouncement announces that a target is draining.
 type leavingAnnouncement struct {
-	service   string
-	id        string
-	expiresAt time.Time
+	leaving tarragonwell.LeavingTarget
 }
 
 // suspectAnnouncement announces that a target is unresponsive or failing. The target is
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -65,7 +64,7 @@
 	OnTargetSuspected func(service, id string, expiresAt time.Time)
 	// OnTargetLeaving is called when a peer announces that the target with the given
 	// ID is draining.
-	OnTargetLeaving func(service, id string, expiresAt time.Time, from string)
+	OnTargetLeaving func(l tarragonwell.LeavingTarget, from string)
 }
 
 // Peers is the gossip task, which owns the view of the fleet, and the client for
@@ -91,8 +90,10 @@
 	// BootstrapAddresses of the view.
 	knownAddresses  map[string]bool
 	holderAddresses map[tarragonwell.Incarnation]string
-	// Leaving holds the draining targets and when each announcement expires.
-	Leaving map[membership.TargetKey]time.Time
+	// Leaving holds the announcements of draining targets.
+	Leaving []tarragonwell.LeavingTarget
+	// LeavingVersion changes when Leaving has a new announcement.
+	LeavingVersion uint64
 	// PlatformConfirmedAt is when the platform last confirmed, to any instance, that
 	// the data which this instance has processed is current; zero if it never did.
 	PlatformConfirmedAt time.Time
@@ -186,12 +187,10 @@
 }
 
 // AnnounceLeaving records that a target is draining and propagates it. It does not
-// block: the announcement is dropped if the mailbox is full.
-func (p *Peers) AnnounceLeaving(service, id string, expiresAt time.Time) {
-	p.mailbox.TryPost(leavingAnnouncement{
-		service:   service,
-		id:        id,
-		expiresAt: expiresAt,
+// block: it returns false, and has no effect, if the mailbox is full.
+func (p *Peers) AnnounceLeaving(l tarragonwell.LeavingTarget) bool {
+	return p.mailbox.TryPost(leavingAnnouncement{
+		leaving: l,
 	})
 }
 
@@ -293,7 +292,7 @@
 	case holderAnnouncement:
 		return st.view.MergeHolder(m.holder)
 	case leavingAnnouncement:
-		return st.view.MergeLeaving(now, targetKey(m.service, m.id), m.expiresAt)
+		return st.view.MergeLeaving(now, m.leaving)
 	case suspectAnnouncement:
 		st.view.MergeSuspect(now, targetKey(m.service, m.id), m.expiresAt)
 	}
@@ -320,14 +319,14 @@
 	for _, h := range g.holders {
 		push = st.view.MergeHolder(holderFromProto(h, now)) || push
 	}
-	// The schema's address field of leaving and suspected targets holds the target's ID.
-	for _, l := range g.leaving {
-		expiresAt := now.Add(fromMillis(l.GetRemainingMs()))
-		if st.view.MergeLeaving(now, targetKey(l.GetService(), l.GetAddress()), expiresAt) {
-			p.options.OnTargetLeaving(l.GetService(), l.GetAddress(), expiresAt, from)
+	for _, m := range g.leaving {
+		l := leavingFromProto(m, now)
+		if st.view.MergeLeaving(now, l) {
+			p.options.OnTargetLeaving(l, from)
 			push = true
 		}
 	}
+	// The schema's address field of suspected targets holds the target's ID.
 	for _, x := range g.suspects {
 		expiresAt := now.Add(fromMillis(x.GetRemainingMs()))
 		if st.view.MergeSuspect(now, targetKey(x.GetService(), x.GetAddress()), expiresAt) {
@@ -397,6 +396,15 @@
 	return response
 }
 
+// leavingForSnapshot returns the announcements of draining targets. It returns the list
+// of the current snapshot if there is nothing new: the list is long in a rolling release.
+func (p *Peers) leavingForSnapshot(st *state) []tarragonwell.LeavingTarget {
+	if s := p.snapshot.Load(); s.LeavingVersion == st.view.LeavingVersion() {
+		return s.Leaving
+	}
+	return st.view.Leaving()
+}
+
 // publishSnapshot replaces the snapshot that other tasks read.
 func (p *Peers) publishSnapshot(st *state) {
 	now := p.options.Common.Clock.Now()
@@ -404,7 +412,8 @@
 		Alive:               st.view.Alive(now),
 		knownAddresses:      map[string]bool{},
 		holderAddresses:     map[tarragonwell.Incarnation]string{},
-		Leaving:             maps.Clone(st.view.Leaving()),
+		Leaving:             p.leavingForSnapshot(st),
+		LeavingVersion:      st.view.LeavingVersion(),
 		PlatformConfirmedAt: st.freshness.latest.at,
 		IsReader:            st.view.IsReader(now, p.options.Common.Settings.Readers),
 		State:               st.view.Self.State,
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -78,7 +78,6 @@
 		Result:  resultForStatus(r.Status),
 		Latency: d.dispatcher.since(begin),
 		Load:    r.Load,
-		Leaving: r.Leaving,
 	}
 	if int64(len(buffered)) > limit {
 		r.Body = &releasingBody{
@@ -139,7 +138,6 @@
 		Result:  result,
 		Latency: d.dispatcher.since(begin),
 		Load:    e.Load,
-		Leaving: e.Leaving,
 	})
 }
 
--- a/internal/service/lease.go
+++ b/internal/service/lease.go
@@ -90,6 +90,7 @@
 func (l *lease) release(r scheduling.Release) {
 	r.TargetID = l.grant.TargetID
 	r.JoinSequence = l.grant.JoinSequence
+	r.Trial = l.grant.Trial
 	l.dispatcher.mailbox.Post(releaseMessage{
 		release: r,
 	})
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -57,10 +57,7 @@
 
 // leavingMessage passes on an announcement that a target is leaving.
 type leavingMessage struct {
-	// id is the target's ID.
-	id string
-	// expiresAt is when the announcement expires.
-	expiresAt time.Time
+	announced tarragonwell.LeavingTarget
 	// from is the source of the announcement, for the audit trail.
 	from string
 }
--- a/internal/service/metrics.go
+++ b/internal/service/metrics.go
@@ -20,6 +20,8 @@
 	// rejected counts attempts for which the instance's scheduler granted no target,
 	// without hedges and resumptions.
 	rejected *metrics.Counter
+	// backoffs counts the responses with which targets asked to be sent nothing.
+	backoffs *metrics.Counter
 }
 
 func newMetricSet(s *metrics.Set, service string) metricSet {
@@ -35,5 +37,6 @@
 		resumes:  counter("resumes"),
 		refusals: counter("sheds"),
 		rejected: counter("refused"),
+		backoffs: counter("backoffs"),
 	}
 }
--- /dev/null
+++ b/internal/service/notice_test.go
@@ -0,0 +1,276 @@
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/internal/target"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
+)
+
+// callTimeout is the time limit of the calls that runningFixture sends.
+const callTimeout = 2 * time.Second
+
+// runningFixture is a running service with a few targets.
+type runningFixture struct {
+	*Dispatcher
+	ctx  context.Context
+	rule *tarragonwell.Service
+	// announced holds the announcements of leaving targets.
+	announced chan tarragonwell.LeavingTarget
+}
+
+// startService runs a service with the targets at the addresses until the test ends.
+func startService(t *testing.T, addresses ...string) *runningFixture {
+	t.Helper()
+	f := &runningFixture{
+		rule:      newRule("s"),
+		announced: make(chan tarragonwell.LeavingTarget, 100),
+	}
+	var listed []tarragonwell.ListedTarget
+	for _, a := range addresses {
+		listed = append(listed, tarragonwell.ListedTarget{
+			ID:      "i-" + a,
+			Address: a,
+			Born:    1,
+		})
+	}
+	f.Dispatcher = New(Options{
+		Common:        newCommon(t, common.SystemClock{}),
+		ServiceRule:   f.rule,
+		BudgetDivisor: 1,
+		Targets:       listed,
+		AnnounceLeaving: func(l tarragonwell.LeavingTarget) bool {
+			f.announced <- l
+			return true
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.ctx = ctx
+	var running sync.WaitGroup
+	running.Go(func() { f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return f
+}
+
+// call sends a repeatable call. The response's body must be closed.
+func (f *runningFixture) call(method string, long bool) tarragonwell.Result {
+	return f.Dispatch(f.ctx, &tarragonwell.Call{
+		ID:         "id",
+		Method:     method,
+		RequestURI: "/x",
+		Route: &tarragonwell.Route{
+			Service: f.rule,
+			Kind: &tarragonwell.Kind{
+				Name:       "k",
+				Repeatable: true,
+				Long:       long,
+				Timeout:    callTimeout,
+				Weight:     1,
+				SlotShare:  1,
+			},
+		},
+		Deadline:    time.Now().Add(callTimeout),
+		RetriesLeft: 1,
+	})
+}
+
+// discard reads a response to its end, or until it fails, and closes it.
+func discard(r tarragonwell.Result) {
+	if r.Response != nil {
+		_, _ = io.Copy(io.Discard, r.Response.Body)
+		_ = r.Response.Body.Close()
+	}
+}
+
+// withState adds the header of a draining target to a handler.
+func withState(handler func(http.ResponseWriter, *http.Request)) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(target.HeaderState, "draining")
+		handler(w, r)
+	}
+}
+
+// TestLeavingInAnyResponse checks that a target which says in a response that it is
+// leaving gets no further call, whatever kind of response it was and also while its body
+// is still in transit. The second call, if the first one was not retried, is rejected at
+// once, because the service has no other target.
+func TestLeavingInAnyResponse(t *testing.T) {
+	stream := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	tooLarge := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, 5000))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	for _, tt := range []struct {
+		name    string
+		method  string
+		long    bool
+		handler func(http.ResponseWriter, *http.Request)
+	}{
+		{
+			name:    "success",
+			method:  http.MethodGet,
+			handler: respond,
+		},
+		{
+			name:    "failure",
+			method:  http.MethodGet,
+			handler: fail,
+		},
+		{
+			name:    "refusal",
+			method:  http.MethodGet,
+			handler: refuse,
+		},
+		{
+			name:    "HEAD",
+			method:  http.MethodHead,
+			handler: respond,
+		},
+		{
+			name:    "truncated",
+			method:  http.MethodGet,
+			handler: truncate,
+		},
+		{
+			name:    "long, still in transit",
+			method:  http.MethodGet,
+			long:    true,
+			handler: stream,
+		},
+		{
+			name:    "too large to buffer, still in transit",
+			method:  http.MethodGet,
+			handler: tooLarge,
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			leaver := startScriptedTarget(t, withState(tt.handler))
+			f := startService(t, leaver.address)
+			first := f.call(tt.method, tt.long)
+			begin := time.Now()
+			second := f.call(http.MethodGet, false)
+			if got, want := second.Outcome, tarragonwell.OutcomeNotRun; got != want {
+				t.Errorf("second call: got %v (%s), want %v", got, second.Reason, want)
+			}
+			if got, want := time.Since(begin), callTimeout/4; got > want {
+				t.Errorf("second call: rejected after %v, want at once", got)
+			}
+			if first.Response != nil {
+				_ = first.Response.Body.Close()
+			}
+			if got, want := leaver.callCount(), 1; got != want {
+				t.Errorf("calls: got %d, want %d", got, want)
+			}
+			if got, want := (<-f.announced).ID, "i-"+leaver.address; got != want {
+				t.Errorf("announced: got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+// TestGrantedCallIsNotSentToLeaver checks that a call which was granted a target before
+// the target said that it is leaving, and was not sent yet, is not sent there.
+func TestGrantedCallIsNotSentToLeaver(t *testing.T) {
+	leaver := startScriptedTarget(t, withState(respond))
+	f := startService(t, leaver.address)
+	l, rejection := f.acquire(f.ctx, scheduling.AcquireRequest{
+		Kind: &tarragonwell.Kind{
+			Name: "k",
+		},
+		Deadline: time.Now().Add(callTimeout),
+	})
+	if l == nil {
+		t.Fatalf("got rejection %+v, want a grant", rejection)
+	}
+	discard(f.call(http.MethodGet, false))
+	<-f.announced
+	// The status is answered after the restriction was set.
+	if _, err := f.Status(f.ctx); err != nil {
+		t.Fatal(err)
+	}
+	_, err := sendCall(f.ctx, l, &tarragonwell.Call{
+		Method:     http.MethodGet,
+		RequestURI: "/x",
+		Deadline:   time.Now().Add(callTimeout),
+		Route: &tarragonwell.Route{
+			Kind: &tarragonwell.Kind{},
+		},
+	})
+	if err == nil || err.Stage != tarragonwell.StageNotSent {
+		t.Errorf("got %v, want an error with StageNotSent", err)
+	}
+	if got, want := leaver.callCount(), 1; got != want {
+		t.Errorf("calls: got %d, want %d", got, want)
+	}
+}
+
+// TestDroppedAnnouncementIsRepeated checks that the announcement of a leaving target which
+// the peers could not take is made again.
+func TestDroppedAnnouncementIsRepeated(t *testing.T) {
+	leaver := startScriptedTarget(t, withState(respond))
+	f := startService(t, leaver.address)
+	drops := 2
+	f.options.AnnounceLeaving = func(l tarragonwell.LeavingTarget) bool {
+		if drops > 0 {
+			drops--
+			return false
+		}
+		f.announced <- l
+		return true
+	}
+	discard(f.call(http.MethodGet, false))
+	select {
+	case <-f.announced:
+	case <-time.After(callTimeout):
+		t.Error("got no announcement, want it repeated")
+	}
+}
+
+// TestTargetThatAsksToBeLeftAlone checks that a target which refuses a call with a
+// Retry-After is sent nothing for that time, and that callers are rejected at once with
+// the time until then.
+func TestTargetThatAsksToBeLeftAlone(t *testing.T) {
+	const asked = time.Second
+	busy := startScriptedTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", "1")
+		refuse(w, r)
+	}, respond)
+	f := startService(t, busy.address)
+	asking := time.Now()
+	first := f.call(http.MethodGet, false)
+	if got, want := first.Outcome, tarragonwell.OutcomeNotRun; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got := first.RetryAfter; got < asked-100*time.Millisecond || got > 2*asked {
+		t.Errorf("Retry-After: got %v, want the rest of %v, a little more at most", got, asked)
+	}
+	for time.Since(asking) < asked {
+		r := f.call(http.MethodGet, false)
+		discard(r)
+		if got, want := busy.callCount(), 1; got != want && time.Since(asking) < asked {
+			t.Fatalf("calls within the time: got %d, want %d", got, want)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(asked/4 + 50*time.Millisecond)
+	last := f.call(http.MethodGet, false)
+	discard(last)
+	if got, want := last.Outcome, tarragonwell.OutcomeComplete; got != want {
+		t.Errorf("after the time: got %v (%s), want %v", got, last.Reason, want)
+	}
+}
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -37,9 +37,6 @@
 	if r.Response.Load != nil {
 		dr.recordLoad(now, st, r)
 	}
-	if r.Response.Leaving && control.Enabled(control.LeavingReport) {
-		dr.markTargetLeaving(now, st, r.ID, now.Add(leavingTTL), r.ID)
-	}
 }
 
 // recordLoad passes a probe's load report to the scheduler and to a probing policy.
@@ -66,28 +63,12 @@
 	}
 }
 
-// markTargetLeaving marks a target as leaving. If the target itself reported it, from
-// is the target's ID, and the report is announced to the peers when it is new, and
-// again every leavingAnnounceInterval as further reports arrive. Otherwise from is the
-// source of a peer's announcement, which is not repeated to others.
-func (dr *Dispatcher) markTargetLeaving(now time.Time, st *state, id string, expiresAt time.Time, from string) {
-	changed := st.scheduler.MarkLeaving(now, id, expiresAt)
-	if changed {
-		dr.recordChange("target-leaving", id, from)
-	}
-	announce := from == id && dr.options.AnnounceLeaving != nil
-	if announce && (changed || now.Sub(st.leavingAnnouncedAt[id]) > leavingAnnounceInterval) {
-		st.leavingAnnouncedAt[id] = now
-		dr.options.AnnounceLeaving(st.serviceRule.Name, id, expiresAt)
-	}
-}
-
 // setTargets starts and stops the targets' tasks to match the platform's list.
 func (dr *Dispatcher) setTargets(ctx context.Context, st *state, targetTasks *sync.WaitGroup, list []tarragonwell.ListedTarget) {
 	before := len(st.handles)
 	joined, left := st.scheduler.SetTargets(dr.options.Common.Clock.Now(), list)
 	for _, id := range left {
-		delete(st.leavingAnnouncedAt, id)
+		delete(st.unannounced, id)
 		st.handles[id].stop()
 		delete(st.handles, id)
 		dr.recordChange("target-left", id, "platform")
@@ -144,6 +125,9 @@
 		Report: func(r target.ProbeReport) {
 			_ = dr.mailbox.Send(ctx, r)
 		},
+		ReportNotice: func(r target.NoticeReport) {
+			dr.mailbox.Post(r)
+		},
 	})
 	targetTasks.Go(func() {
 		t.Run(ctx)
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -44,13 +44,6 @@
 	// resyncTimeout is the maximum wait for that confirmation. Calls are placed
 	// without it afterwards.
 	resyncTimeout = time.Second
-	// leavingTTL is how long a target's report that it is leaving is effective if it
-	// is not repeated and the platform's list does not confirm it.
-	leavingTTL = 30 * time.Second
-	// leavingAnnounceInterval is the minimum interval at which the announcement that a
-	// target is leaving is repeated while the target reports it, for instances that
-	// have started in the meantime.
-	leavingAnnounceInterval = 10 * time.Second
 )
 
 // ErrStopped means that the service's task has ended, because the service is no longer
@@ -72,9 +65,10 @@
 	// Targets is the platform's initial list.
 	Targets []tarragonwell.ListedTarget
 	// AnnounceLeaving announces to the peers that a target reports that it is leaving:
-	// it completes its calls and accepts no new ones. It must not block. Nil for no
+	// it completes its calls and accepts no new ones. It must
+	// not block, and returns false if the announcement has to be repeated. Nil for no
 	// announcements.
-	AnnounceLeaving func(service, id string, expiresAt time.Time)
+	AnnounceLeaving func(tarragonwell.LeavingTarget) bool
 	// AnnounceSuspect announces to the peers that a target is unresponsive or ejected.
 	// It must not block. Nil for no announcements.
 	AnnounceSuspect func(service, id string, expiresAt time.Time)
@@ -107,8 +101,9 @@
 	// queued holds the reply channels of the requests in the scheduler's queue, by
 	// request ID.
 	queued map[uint64]chan<- acquireReply
-	// leavingAnnouncedAt is when a target was last announced as leaving, by target ID.
-	leavingAnnouncedAt map[string]time.Time
+	// unannounced holds the leaving targets, by ID, whose announcement has to be
+	// repeated.
+	unannounced map[string]tarragonwell.LeavingTarget
 	// lastRun is when the task last ran.
 	lastRun time.Time
 	// lastUptime is the Clock.Uptime at lastRun.
@@ -151,12 +146,11 @@
 	})
 }
 
-// MarkLeaving passes on an announcement, effective until expiresAt, that a target is
-// leaving. from is its source, for the audit trail.
-func (dr *Dispatcher) MarkLeaving(id string, expiresAt time.Time, from string) {
+// MarkLeaving passes on an announcement that a target is leaving. from is its source,
+// for the audit trail.
+func (dr *Dispatcher) MarkLeaving(announced tarragonwell.LeavingTarget, from string) {
 	dr.mailbox.Post(leavingMessage{
-		id:        id,
-		expiresAt: expiresAt,
+		announced: announced,
 		from:      from,
 	})
 }
@@ -202,6 +196,7 @@
 			return
 		case <-pauseTicker.C:
 			dr.detectPause(st)
+			dr.announceLeaving(st)
 		case m := <-dr.mailbox.Receive():
 			dr.detectPause(st)
 			dr.handleMessage(ctx, st, &targetTasks, m)
@@ -242,14 +237,14 @@
 // newState returns the task's state at the start.
 func (dr *Dispatcher) newState() *state {
 	st := &state{
-		serviceRule:        dr.options.ServiceRule,
-		policyName:         dr.options.ServiceRule.Policy,
-		budgetDivisor:      dr.options.BudgetDivisor,
-		handles:            map[string]*targetHandle{},
-		queued:             map[uint64]chan<- acquireReply{},
-		leavingAnnouncedAt: map[string]time.Time{},
-		lastRun:            dr.options.Common.Clock.Now(),
-		lastUptime:         dr.options.Common.Clock.Uptime(),
+		serviceRule:   dr.options.ServiceRule,
+		policyName:    dr.options.ServiceRule.Policy,
+		budgetDivisor: dr.options.BudgetDivisor,
+		handles:       map[string]*targetHandle{},
+		queued:        map[uint64]chan<- acquireReply{},
+		unannounced:   map[string]tarragonwell.LeavingTarget{},
+		lastRun:       dr.options.Common.Clock.Now(),
+		lastUptime:    dr.options.Common.Clock.Uptime(),
 	}
 	initialPolicy := policy.New(st.serviceRule.Policy, common.NewRandom())
 	st.probingPolicy, _ = initialPolicy.(tarragonwell.ProbingPolicy)
@@ -276,9 +271,8 @@
 		m.reply <- struct{}{}
 	case releaseMessage:
 		st.scheduler.Release(now, m.release)
-		if m.release.Leaving {
-			dr.markTargetLeaving(now, st, m.release.TargetID, now.Add(leavingTTL), m.release.TargetID)
-		}
+	case target.NoticeReport:
+		dr.handleNotice(now, st, m)
 	case target.ProbeReport:
 		dr.handleProbeReport(now, st, m)
 	case placementProbeMessage:
@@ -288,7 +282,7 @@
 	case configureMessage:
 		dr.configure(st, m)
 	case leavingMessage:
-		dr.markTargetLeaving(now, st, m.id, m.expiresAt, m.from)
+		dr.markLeaving(now, st, m)
 	case suspectMessage:
 		st.scheduler.MarkSuspect(now, m.id, m.expiresAt)
 	case targetsConfirmedMessage:
--- a/internal/target/dialect.go
+++ b/internal/target/dialect.go
@@ -38,20 +38,23 @@
 // ParseResponseHeader implements tarragonwell.TargetDialect.
 func (Dialect) ParseResponseHeader(c *tarragonwell.Call, _ int, header map[string][]string) tarragonwell.ResponseInfo {
 	h := http.Header(header)
-	info := tarragonwell.ResponseInfo{
-		Load:    parseLoad(h.Get(HeaderLoad)),
-		Leaving: h.Get(HeaderState) == stateDraining && control.Enabled(control.LeavingReport),
-	}
 	if id := h.Get(HeaderAttemptID); id != "" && id != attemptID(c) && control.Enabled(control.ResponseIdentity) {
-		info.Verdict = tarragonwell.ResponseMismatched
-		info.Reason = "the target answered another request"
-		return info
+		return tarragonwell.ResponseInfo{
+			Verdict: tarragonwell.ResponseMismatched,
+			Reason:  "the target answered another request",
+		}
 	}
-	if notRunReason := h.Get(HeaderNotRun); notRunReason != "" {
+	info := tarragonwell.ResponseInfo{
+		Load: parseLoad(h.Get(HeaderLoad)),
+	}
+	notRunReason := h.Get(HeaderNotRun)
+	if notRunReason != "" {
 		info.Verdict = tarragonwell.ResponseRefused
 		info.Reason = "the target refused: " + notRunReason
-		info.Leaving = info.Leaving || (notRunReason == stateDraining && control.Enabled(control.LeavingReport))
+		info.RetryAfter, info.Ignored = ParseRetryAfter(h.Get(headerRetryAfter))
 	}
+	draining := h.Get(HeaderState) == stateDraining || notRunReason == stateDraining
+	info.Leaving = draining && control.Enabled(control.LeavingReport)
 	return info
 }
 
@@ -89,7 +92,9 @@
 			Waiting: max(0, r.Waiting),
 			Slots:   max(0, r.Slots),
 		},
-		Leaving: r.State == stateDraining,
+		TargetNotice: tarragonwell.TargetNotice{
+			Leaving: r.State == stateDraining,
+		},
 	}, nil
 }
 
--- a/internal/target/headers.go
+++ b/internal/target/headers.go
@@ -23,6 +23,9 @@
 	// HeaderState is "draining" on responses of a leaving target, which accepts no new
 	// calls.
 	HeaderState = "Target-State"
+	// headerRetryAfter is how long a target that refused a call asks to be sent
+	// nothing, in seconds.
+	headerRetryAfter = "Retry-After"
 
 	stateDraining = "draining"
 )
--- a/internal/target/send.go
+++ b/internal/target/send.go
@@ -17,6 +17,13 @@
 
 // Send implements tarragonwell.Sender.
 func (cl *Client) Send(ctx context.Context, c *tarragonwell.Call) (*tarragonwell.Response, error) {
+	if err := cl.restrictionError(); err != nil {
+		return nil, &tarragonwell.AttemptError{
+			Stage:  tarragonwell.StageNotSent,
+			Reason: err.Error(),
+			Err:    err,
+		}
+	}
 	var writes writeTracker
 	request, err := cl.newRequest(writes.withTrace(ctx, c), c)
 	if err != nil {
@@ -169,6 +176,7 @@
 // dialect does not accept it.
 func (cl *Client) acceptResponse(r *http.Response, c *tarragonwell.Call) (*tarragonwell.Response, error) {
 	info := cl.dialect.ParseResponseHeader(c, r.StatusCode, r.Header)
+	cl.reportNotice(info.TargetNotice)
 	if info.Verdict != tarragonwell.ResponseAccepted {
 		return nil, cl.responseError(r, info)
 	}
@@ -179,7 +187,6 @@
 		Body:          r.Body,
 		Length:        r.ContentLength,
 		Load:          info.Load,
-		Leaving:       info.Leaving,
 		TargetAddress: cl.options.Listed.Address,
 	}, nil
 }
@@ -188,10 +195,10 @@
 // The target refused the call, or the response belongs to another call or target.
 func (cl *Client) responseError(r *http.Response, info tarragonwell.ResponseInfo) *tarragonwell.AttemptError {
 	e := &tarragonwell.AttemptError{
-		Stage:   tarragonwell.StageRefused,
-		Reason:  info.Reason,
-		Load:    info.Load,
-		Leaving: info.Leaving,
+		Stage:        tarragonwell.StageRefused,
+		Reason:       info.Reason,
+		Load:         info.Load,
+		TargetNotice: info.TargetNotice,
 	}
 	switch info.Verdict {
 	case tarragonwell.ResponseMismatched:
@@ -204,9 +211,22 @@
 		return e
 	case tarragonwell.ResponseMisdirected:
 		e.Misdirected = true
+	case tarragonwell.ResponseAmbiguous:
+		e.Stage = tarragonwell.StageSent
 	}
-	// If a short body is read to its end, the connection can be reused.
-	_, _ = io.CopyN(io.Discard, r.Body, maxSmallBodySize)
-	_ = r.Body.Close()
+	discardBody(r.Body)
 	return e
 }
+
+// discardTimeout bounds the time for which the body of a discarded response is read,
+// because the call is retried only after that.
+const discardTimeout = 20 * time.Millisecond
+
+// discardBody closes a body. It first reads it, so that the connection can be reused if
+// the body is short and ends in time.
+func discardBody(body io.ReadCloser) {
+	timer := time.AfterFunc(discardTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, body, maxSmallBodySize)
+	_ = body.Close()
+}
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,6 +46,18 @@
 	Connections int
 	// Report is called with the result of each probe. It must not block for long.
 	Report func(ProbeReport)
+	// ReportNotice is called with what the target states about itself in any response,
+	// before the response is returned. It must not block for long.
+	ReportNotice func(NoticeReport)
+}
+
+// NoticeReport is what a target stated about itself in a response.
+type NoticeReport struct {
+	// ID is the target's ID.
+	ID string
+	// Born is the target's ListedTarget.Born.
+	Born   uint64
+	Notice tarragonwell.TargetNotice
 }
 
 // ProbeReport is the result of a probe.
@@ -70,6 +83,8 @@
 	// idle connections early.
 	nonRepeatable *http.Transport
 	mailbox       *task.Mailbox[any]
+	// restriction is replaced as a whole, so that senders never block; nil for none.
+	restriction atomic.Pointer[Restriction]
 }
 
 // probeIntervalMessage changes the interval between probes.
@@ -165,8 +180,12 @@
 	cl.probe(ctx, true)
 }
 
-// probe sends a load probe and reports the result.
+// probe sends a load probe and reports the result. It does nothing while the client is
+// restricted.
 func (cl *Client) probe(ctx context.Context, forPlacement bool) {
+	if cl.restrictionError() != nil {
+		return
+	}
 	start := cl.options.Common.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -198,5 +217,9 @@
 	if err != nil {
 		return none, eris.Wrap(ErrProbe, err.Error())
 	}
-	return cl.dialect.ParseProbe(&cl.options.Listed, response.StatusCode, response.Header, body)
+	parsed, err := cl.dialect.ParseProbe(&cl.options.Listed, response.StatusCode, response.Header, body)
+	if err == nil {
+		cl.reportNotice(parsed.TargetNotice)
+	}
+	return parsed, err
 }
--- a/pkg/tarragonwell/call.go
+++ b/pkg/tarragonwell/call.go
@@ -49,12 +49,27 @@
 	Length int64
 	// Load is the load report in the response, or nil.
 	Load *LoadReport
-	// Leaving is set if the target is draining and accepts no new calls.
-	Leaving bool
 	// TargetAddress is the address of the target that sent the response.
 	TargetAddress string
 }
 
+// TargetNotice is what a target states, in any of its responses, about the calls that
+// it wants from this instance. The zero value states nothing.
+type TargetNotice struct {
+	// Leaving is set if the target is draining and accepts no new calls.
+	Leaving bool
+	// RetryAfter is how long the target asks to be sent nothing; 0 if it does not ask.
+	// It is at most MaxRetryAfter.
+	RetryAfter time.Duration
+	// Ignored explains which part of the notice was ignored or bounded, and why; empty
+	// if all of it is in effect.
+	Ignored string
+}
+
+// MaxRetryAfter bounds the time for which a target can ask to be sent nothing, so that
+// a faulty target does not exclude itself for good.
+const MaxRetryAfter = 10 * time.Minute
+
 // Result is the final result of a call.
 type Result struct {
 	Outcome Outcome
@@ -98,11 +113,9 @@
 	Reason string
 	// Load is the target's load report, or nil.
 	Load *LoadReport
-	// Leaving is set if the target is draining and accepts no new calls.
-	Leaving bool
-	// IdleTimeout is how long the target keeps an idle connection open; 0 if the
-	// header does not state it.
-	IdleTimeout time.Duration
+	// TargetNotice is zero if the response does not come from the target that the call
+	// was sent to.
+	TargetNotice
 }
 
 // ResponseVerdict reports whether a response belongs to the call that was sent, and
@@ -120,16 +133,17 @@
 	// ResponseMismatched means that the response belongs to another call, or to none.
 	// The connection must not be reused.
 	ResponseMismatched
+	// ResponseAmbiguous means that the response belongs to the call, but that its
+	// status would tell the caller that the call was not run, which the target does not
+	// report.
+	ResponseAmbiguous
 )
 
 // ProbeResponse is a target's response to a load probe.
 type ProbeResponse struct {
 	// Load is nil if the target did not report its load.
 	Load *LoadReport
-	// Leaving is set if the target is draining and accepts no new calls.
-	Leaving bool
-	// Unhealthy is set if the target reports that it is failing.
-	Unhealthy bool
+	TargetNotice
 }
 
 // LocalResponse is the response that the instance itself generates for a caller
@@ -213,8 +227,7 @@
 	Reason string
 	// Load is the load report of a target that refused the call, or nil.
 	Load *LoadReport
-	// Leaving is set if the target is draining and accepts no new calls.
-	Leaving bool
+	TargetNotice
 	// Misdirected is set if another target now has the address.
 	Misdirected bool
 	Err         error
--- a/pkg/tarragonwell/member.go
+++ b/pkg/tarragonwell/member.go
@@ -69,6 +69,21 @@
 	ExpiresAt time.Time
 }
 
+// LeavingTarget announces to the peers that a target reported that it is leaving: it
+// completes its calls and accepts no new ones.
+type LeavingTarget struct {
+	Service string
+	// ID is the target's ListedTarget.Identity.
+	ID string
+	// Born is the target's ListedTarget.Born, to which the announcement is limited; 0 if
+	// it is not known.
+	Born uint64
+	// ExpiresAt is when the announcement expires.
+	ExpiresAt time.Time
+	// Observed is set if the target reported it to this instance.
+	Observed bool
+}
+
 // String returns the first half of the incarnation in hexadecimal, which is
 // enough to tell incarnations apart in logs.
 func (i Incarnation) String() string {
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -46,8 +47,10 @@
 	// holders holds the latest holder record of each incarnation whose operations were
 	// handed over.
 	holders map[tarragonwell.Incarnation]tarragonwell.Holder
-	// leaving holds the targets that are draining and when the notice expires.
-	leaving map[TargetKey]time.Time
+	// leaving holds the announcements of targets that are draining.
+	leaving map[TargetKey]tarragonwell.LeavingTarget
+	// leavingVersion is incremented when leaving gains or extends an announcement.
+	leavingVersion uint64
 	// suspects holds the suspected targets and when the suspicion expires, which is
 	// after a short time.
 	suspects map[TargetKey]time.Time
@@ -58,6 +61,9 @@
 	Service string
 	// ID is the target's tarragonwell.ListedTarget.Identity.
 	ID string
+	// Born is the target's tarragonwell.ListedTarget.Born; 0 if it is not known or the
+	// key does not tell the starts of a target apart.
+	Born uint64
 }
 
 // peerEntry holds the latest member record of a peer.
@@ -162,11 +168,14 @@
 			delete(v.holders, i)
 		}
 	}
-	for _, m := range []map[TargetKey]time.Time{v.leaving, v.suspects} {
-		for k, expiresAt := range m {
-			if now.After(expiresAt) {
-				delete(m, k)
-			}
+	for k, l := range v.leaving {
+		if now.After(l.ExpiresAt) {
+			delete(v.leaving, k)
+		}
+	}
+	for k, expiresAt := range v.suspects {
+		if now.After(expiresAt) {
+			delete(v.suspects, k)
 		}
 	}
 }
@@ -313,13 +322,35 @@
 	return out
 }
 
-// MergeLeaving records until when a target counts as draining. It reports whether the
+// MergeLeaving records the announcement of a draining target. It reports whether the
 // target was not draining before.
-func (v *View) MergeLeaving(now time.Time, k TargetKey, expiresAt time.Time) bool {
+func (v *View) MergeLeaving(now time.Time, l tarragonwell.LeavingTarget) bool {
 	if v.leaving == nil {
-		v.leaving = map[TargetKey]time.Time{}
+		v.leaving = map[TargetKey]tarragonwell.LeavingTarget{}
+	}
+	k := TargetKey{
+		Service: l.Service,
+		ID:      l.ID,
+		Born:    l.Born,
+	}
+	old := v.leaving[k]
+	isNew := !now.Before(old.ExpiresAt) && l.ExpiresAt.After(now)
+	if !l.ExpiresAt.After(old.ExpiresAt) {
+		l.ExpiresAt = old.ExpiresAt
+	}
+	l.Observed = l.Observed || old.Observed
+	if l != old {
+		v.leaving[k] = l
+	}
+	if isNew || l.Observed != old.Observed {
+		v.leavingVersion++
 	}
-	return mergeExpiry(v.leaving, now, k, expiresAt)
+	return isNew
+}
+
+// LeavingVersion changes when there is a new announcement of a draining target.
+func (v *View) LeavingVersion() uint64 {
+	return v.leavingVersion
 }
 
 // MergeSuspect records until when a target is suspected. It reports whether the
@@ -328,15 +359,9 @@
 	if v.suspects == nil {
 		v.suspects = map[TargetKey]time.Time{}
 	}
-	return mergeExpiry(v.suspects, now, k, expiresAt)
-}
-
-// mergeExpiry keeps the later expiry of k. It reports whether the notice newly takes
-// effect: the old expiry has passed and the new one has not.
-func mergeExpiry(m map[TargetKey]time.Time, now time.Time, k TargetKey, expiresAt time.Time) bool {
-	old := m[k]
+	old := v.suspects[k]
 	if expiresAt.After(old) {
-		m[k] = expiresAt
+		v.suspects[k] = expiresAt
 	}
 	return !now.Before(old) && expiresAt.After(now)
 }
@@ -347,8 +372,11 @@
 	return v.suspects
 }
 
-// Leaving returns the draining targets and when each notice expires. The map belongs
-// to the view.
-func (v *View) Leaving() map[TargetKey]time.Time {
-	return v.leaving
+// Leaving lists the announcements of draining targets, those that expire last first.
+func (v *View) Leaving() []tarragonwell.LeavingTarget {
+	out := slices.Collect(maps.Values(v.leaving))
+	slices.SortFunc(out, func(a, b tarragonwell.LeavingTarget) int {
+		return b.ExpiresAt.Compare(a.ExpiresAt)
+	})
+	return out
 }
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -22,7 +22,7 @@
 // eligibleTargets returns the targets to which the call may be sent. The slice is
 // valid until the next call of this method.
 //
-// Leaving targets are never eligible, and long kinds are limited to a share of the
+// Targets that are leaving or in backoff are never eligible, and long kinds are limited to a share of the
 // targets. Targets that are delisted, ejected, suspected or already tried are left
 // out as well. If none remains, the conditions are relaxed, trying one alternative
 // after the other: first outside the kind's share, if the call has tried some
@@ -34,7 +34,7 @@
 	}
 	s.filter(func(t *tarragonwell.TargetState) bool { return s.mayServe(now, t, p.Kind) && usable(t) })
 	if len(s.eligible) == 0 && len(p.Exclude) > 0 {
-		s.filter(func(t *tarragonwell.TargetState) bool { return !t.Leaving(now) && usable(t) })
+		s.filter(func(t *tarragonwell.TargetState) bool { return accepts(now, t) && usable(t) })
 	}
 	if len(s.eligible) == 0 {
 		s.filter(func(t *tarragonwell.TargetState) bool { return s.mayServe(now, t, p.Kind) && !t.Delisted })
@@ -55,11 +55,11 @@
 	}
 }
 
-// mayServe reports whether a target may be sent calls of the kind at all: it is not
-// leaving, and is within the share of the targets to which a long kind is limited.
+// mayServe reports whether a target may be sent calls of the kind at all: it accepts
+// calls, and is within the share of the targets to which a long kind is limited.
 // With only one target, the limit is a share of its slots.
 func (s *Scheduler) mayServe(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) bool {
-	if t.Leaving(now) {
+	if !accepts(now, t) {
 		return false
 	}
 	if !k.Long || k.SlotShare >= 1 {
@@ -73,15 +73,15 @@
 }
 
 // ejected reports whether a target is ejected for its failures. After the ejection
-// time, once none of the instance's calls is in flight there, it receives one trial
-// call at a time: a success ends the ejection, a failure starts another one.
+// time it receives one trial call at a time, also while calls from before the ejection
+// are still in flight: a success ends the ejection, a failure starts another one.
 // EjectedUntil is not cleared by a success, so that alone it does not show that a
 // target is ejected.
 func ejected(now time.Time, t *tarragonwell.TargetState) bool {
 	if t.ConsecutiveFailures < ejectionThreshold {
 		return false
 	}
-	return now.Before(t.EjectedUntil) || t.InFlight > 0
+	return now.Before(t.EjectedUntil) || t.TrialInFlight > 0
 }
 
 // suspected reports whether a target is avoided because of a peer's announcement.
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -64,17 +64,18 @@
 	TargetID string
 	// JoinSequence is copied from the Grant.
 	JoinSequence uint64
-	Kind         *tarragonwell.Kind
-	Result       AttemptResult
-	Latency      time.Duration
+	// Trial is copied from the Grant.
+	Trial   bool
+	Kind    *tarragonwell.Kind
+	Result  AttemptResult
+	Latency time.Duration
 	// Load is the load report in the target's response, or nil.
 	Load *tarragonwell.LoadReport
-	// Leaving is set if the target reported that it is leaving.
-	Leaving bool
 }
 
-// recordStart counts an attempt that is about to be sent to a target.
-func (s *Scheduler) recordStart(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) {
+// recordStart counts an attempt that is about to be sent to a target. It reports whether
+// it is a trial call.
+func (s *Scheduler) recordStart(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) (trial bool) {
 	if t.InFlight == t.InFlightLong {
 		// No short calls were in flight: the time without a response starts now.
 		t.LastProgress = now
@@ -87,6 +88,11 @@
 	t.Sent++
 	s.inFlight++
 	s.observeDemand(now)
+	trial = t.BackoffTrial || t.ConsecutiveFailures >= ejectionThreshold
+	if trial {
+		t.TrialInFlight++
+	}
+	return trial
 }
 
 // Release records the end of an attempt. Call Poll afterwards to grant the freed
@@ -103,6 +109,9 @@
 		return
 	}
 	t.InFlight--
+	if r.Trial {
+		t.TrialInFlight--
+	}
 	if r.Kind.Long {
 		t.InFlightLong--
 	}
@@ -142,9 +151,10 @@
 
 func (s *Scheduler) recordSuccess(now time.Time, t *tarragonwell.TargetState, r Release) {
 	t.FailureRate *= 1 - failureSmoothing
-	if t.ConsecutiveFailures >= ejectionThreshold {
+	if t.ConsecutiveFailures >= ejectionThreshold || t.BackoffTrial {
 		t.RampStart = now
 	}
+	t.BackoffTrial = now.Before(t.BackoffUntil)
 	t.ConsecutiveFailures = 0
 	t.Ejections = 0
 	if r.Kind.Long {
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -70,6 +70,8 @@
 	eligible []*tarragonwell.TargetState
 	// lastJoinSequence is the sequence number of the latest target to join.
 	lastJoinSequence uint64
+	// leavers are the targets that reported that they are leaving.
+	leavers leaverMemory
 	// grantsSuspendedUntil is the time until which no call is granted a target;
 	// zero if grants are not suspended.
 	grantsSuspendedUntil time.Time
@@ -105,6 +107,9 @@
 	TargetID string
 	// JoinSequence is the target's join sequence number, to be passed to Release.
 	JoinSequence uint64
+	// Trial is set if the target is on trial after an ejection or a backoff, to be passed
+	// to Release.
+	Trial bool
 	// HedgeAfter is the delay after which the call may be hedged to a second
 	// target; 0 if no latency has been measured yet.
 	HedgeAfter time.Duration
@@ -252,8 +257,8 @@
 
 // enqueue queues a call, or rejects it if it could not be served in time.
 func (s *Scheduler) enqueue(now time.Time, p *admission.PendingCall) Decision {
-	if len(s.eligibleTargets(now, p)) == 0 {
-		return reject(p.ID, ReasonNoTargets, noTargetsRetryAfter)
+	if s.noneAccepts(now) || len(s.eligibleTargets(now, p)) == 0 && !s.trialPending(now) {
+		return reject(p.ID, ReasonNoTargets, s.noTargetsRetryAfter(now))
 	}
 	wait := s.estimatedWait(p)
 	if now.Add(wait + s.requiredTime(p.Kind)).After(p.Deadline) {
@@ -268,9 +273,6 @@
 	return Decision{}
 }
 
-// noTargetsRetryAfter is the retry delay if the service has no eligible target.
-const noTargetsRetryAfter = time.Second
-
 func reject(id uint64, reason string, retryAfter time.Duration) Decision {
 	return Decision{
 		Rejection: &Rejection{
@@ -292,12 +294,18 @@
 
 // Poll rejects queued calls that can no longer meet their deadline or whose
 // queue timeout has passed, and grants targets to the others as far as there is
-// room.
+// room. If no target accepts calls any more, it rejects all.
 func (s *Scheduler) Poll(now time.Time) []Decision {
 	if s.queue.Len() == 0 {
 		return nil
 	}
 	var decisions []Decision
+	if s.noneAccepts(now) {
+		for _, p := range s.queue.Remove(func(*admission.PendingCall) bool { return true }) {
+			decisions = append(decisions, s.withLoadSnapshot(p, reject(p.ID, ReasonNoTargets, s.noTargetsRetryAfter(now))))
+		}
+		return decisions
+	}
 	for _, p := range s.queue.Remove(func(p *admission.PendingCall) bool { return s.missesDeadline(now, p) }) {
 		decisions = append(decisions, s.withLoadSnapshot(p, reject(p.ID, ReasonDeadline, s.retryAfter(now, p))))
 	}
@@ -363,8 +371,9 @@
 	if i < 0 {
 		return nil
 	}
-	s.recordStart(now, targets[i], p.Kind)
+	trial := s.recordStart(now, targets[i], p.Kind)
 	return &Grant{
+		Trial:        trial,
 		Basis:        s.basis(now, targets[i], len(targets), p),
 		ID:           p.ID,
 		TargetID:     targets[i].ID,
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -59,6 +59,7 @@
 		ListedSlots:  l.Slots,
 	}
 	t.Slots = s.slotsOf(t)
+	t.LeavingReported = s.leavers.contains(t)
 	if !skipSlowStart {
 		t.RampStart = now
 	}
@@ -128,22 +129,6 @@
 	}
 }
 
-// MarkLeaving records a target's own report, or a peer's announcement, that the target
-// is leaving: it completes its calls and accepts no new ones. The mark is effective
-// until expiresAt. MarkLeaving returns true if the service has the target and it was
-// not already leaving.
-func (s *Scheduler) MarkLeaving(now time.Time, id string, expiresAt time.Time) bool {
-	t := s.find(id)
-	if t == nil {
-		return false
-	}
-	isNew := !t.Leaving(now)
-	if expiresAt.After(t.LeavingUntil) {
-		t.LeavingUntil = expiresAt
-	}
-	return isNew
-}
-
 // totalSlots returns the number of slots of all targets together.
 func (s *Scheduler) totalSlots() int {
 	n := 0
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -29,6 +29,9 @@
 	// InFlightLong is the number of the instance's own long calls at the target, at
 	// most InFlight.
 	InFlightLong int
+	// TrialInFlight is the number of the instance's own calls at the target that were
+	// sent while it was on trial after an ejection or a backoff, at most InFlight.
+	TrialInFlight int
 	// ExternalCalls is the number of calls of other instances at the target as of
 	// LoadReportedAt, at least 0.
 	ExternalCalls  float64
@@ -72,9 +75,18 @@
 	WarmUpUntil time.Time
 	// PlacementProbedAt is when the target last responded to a placement probe.
 	PlacementProbedAt time.Time
-	// LeavingUntil is when the target's own report, or a peer's announcement, that the
-	// target is draining expires.
+	// LeavingReported is set once the target has told this instance that it is
+	// draining, if Born identifies the start of the target that the report is about. It
+	// is never cleared.
+	LeavingReported bool
+	// LeavingUntil is when a report without such an identity, or a peer's announcement,
+	// that the target is draining expires.
 	LeavingUntil time.Time
+	// BackoffUntil is when the time for which the target asked to be sent nothing ends.
+	BackoffUntil time.Time
+	// BackoffTrial is set from the start of a backoff to the first success after it.
+	// After BackoffUntil the target receives one call at a time while it is set.
+	BackoffTrial bool
 	// ListedLeaving is set if the platform's list marks the target as leaving.
 	ListedLeaving bool
 	// Delisted is set if the target's entry was removed from the platform's list too
@@ -106,7 +118,13 @@
 
 // Leaving reports whether the target is draining and accepts no new calls.
 func (t *TargetState) Leaving(now time.Time) bool {
-	return t.ListedLeaving || now.Before(t.LeavingUntil)
+	return t.ListedLeaving || t.LeavingReported || now.Before(t.LeavingUntil)
+}
+
+// InBackoff reports whether the target asked to be sent nothing and has not yet
+// recovered from it: the time is not over, or a trial call is in flight.
+func (t *TargetState) InBackoff(now time.Time) bool {
+	return now.Before(t.BackoffUntil) || (t.BackoffTrial && t.TrialInFlight > 0)
 }
 
 // TotalCalls returns the number of calls at the target: those of other instances
