Bound hostile responses, and odd entries of the store to themselves

A streamed or large response that did not end counted as a success once the caller gave up, and a long one with a server error too; the body of a refusal that does not end held the retry up until the deadline; a long response ended only with its caller, not at the deadline that the caller stated.

A response counts as a success only at its end: given up by the caller it is no evidence, unfinished at the deadline a failure. Package hostile of the stand-ins plays responses without end.

--- a/internal/caller/dialect.go
+++ b/internal/caller/dialect.go
@@ -36,6 +36,7 @@
 		// The time left is the difference of wall-clock times. It is added to now,
 		// whose monotonic reading is unaffected by jumps of the wall clock.
 		left := time.UnixMilli(ms).Sub(now.Round(0))
+		c.CallerTimeLeft = max(0, left)
 		c.Deadline = now.Add(min(c.Deadline.Sub(now), left))
 	}
 	if callerIP != "" {
--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -100,9 +100,6 @@
 
 // submit sends an update that was read from the platform to the task.
 func (rc *reconciler) submit(u tarragonwell.PlatformUpdate) {
-	for _, x := range u.Invalid {
-		rc.common.Log.Warn("entry-unreadable", "target", x.ID, "revision", x.Revision, "error", x.Err)
-	}
 	if u.Rules != nil {
 		rc.mailbox.Post(rulesUpdate{
 			rules: u.Rules,
@@ -111,8 +108,9 @@
 	}
 	if u.List != nil {
 		rc.mailbox.Post(listUpdate{
-			change: u.List,
-			from:   fromPlatform,
+			change:  u.List,
+			from:    fromPlatform,
+			invalid: u.Invalid,
 		})
 	}
 }
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -87,6 +87,8 @@
 	// appliedLeaving is the Snapshot.LeavingVersion of the announcements that the
 	// services were last given; 0 if they have to be given again.
 	appliedLeaving uint64
+	// invalidEntries holds the IDs of the invalid entries that were logged.
+	invalidEntries map[string]bool
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
 }
@@ -103,6 +105,8 @@
 type listUpdate struct {
 	change *tarragonwell.ListChange
 	from   string
+	// invalid holds the entries that were left out of the change.
+	invalid []tarragonwell.InvalidEntry
 	// fetchDone marks the end of a fetch from a peer. change is nil if it failed.
 	fetchDone bool
 }
@@ -160,7 +164,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	st := &reconcilerState{
-		running: map[string]*runningService{},
+		running:        map[string]*runningService{},
+		invalidEntries: map[string]bool{},
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -209,6 +214,7 @@
 		if m.fetchDone {
 			st.fetchingList = false
 		}
+		rc.logInvalidEntries(st, m)
 		if m.change != nil && rc.applyList(st, m) {
 			rc.reconcile(ctx, st, wg)
 		}
@@ -266,6 +272,27 @@
 	return changed
 }
 
+// maxInvalidEntries bounds the invalid entries that are remembered.
+const maxInvalidEntries = 256
+
+// logInvalidEntries logs each invalid entry once until it is valid, because an entry is
+// written again and again.
+func (rc *reconciler) logInvalidEntries(st *reconcilerState, m listUpdate) {
+	for _, x := range m.invalid {
+		if st.invalidEntries[x.ID] || len(st.invalidEntries) >= maxInvalidEntries {
+			continue
+		}
+		st.invalidEntries[x.ID] = true
+		rc.common.Log.Warn("entry-unreadable", "target", x.ID, "revision", x.Revision, "error", x.Err)
+	}
+	if m.change == nil {
+		return
+	}
+	for _, t := range m.change.Targets {
+		delete(st.invalidEntries, t.ID)
+	}
+}
+
 // version returns the version of the rules in force, or the zero version.
 func (st *reconcilerState) version() tarragonwell.RulesVersion {
 	if st.rules == nil {
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -81,8 +81,9 @@
 	}
 	if int64(len(buffered)) > limit {
 		r.Body = &releasingBody{
-			Reader:  io.MultiReader(bytes.NewReader(buffered), r.Body),
+			reader:  io.MultiReader(bytes.NewReader(buffered), r.Body),
 			body:    r.Body,
+			ctx:     ctx,
 			cancel:  cancel,
 			lease:   l,
 			release: release,
@@ -140,26 +141,3 @@
 		Load:    e.Load,
 	})
 }
-
-// releasingBody streams a response that is too large to buffer, and releases the
-// lease when it is closed.
-type releasingBody struct {
-	io.Reader
-	body   io.Closer
-	cancel context.CancelFunc
-	// lease is nil once the body is closed.
-	lease   *lease
-	release scheduling.Release
-}
-
-// Close implements io.Closer. It releases the lease.
-func (b *releasingBody) Close() error {
-	if b.lease == nil {
-		return nil
-	}
-	err := b.body.Close()
-	b.cancel()
-	b.lease.release(b.release)
-	b.lease = nil
-	return err
-}
--- /dev/null
+++ b/internal/service/hostile_test.go
@@ -0,0 +1,96 @@
+package service
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/target"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/standin/hostile"
+)
+
+// startHostileTarget starts a target that responds to all calls with a mode, and returns
+// its address and the count of its calls.
+func startHostileTarget(t *testing.T, m hostile.Mode) (address string, calls *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	calls = &atomic.Int64{}
+	server := &hostile.Server{
+		Mode: m,
+		Header: func([]byte) string {
+			return target.HeaderAttemptID + ": id\r\n"
+		},
+		OnRequest: func() { calls.Add(1) },
+	}
+	go server.Serve(l)
+	return l.Addr().String(), calls
+}
+
+// sendHostileCalls sends calls to a service of three targets, of which one never ends its
+// responses, from a few callers. It returns the longest time of a call, and the number of
+// calls that did not end well.
+func sendHostileCalls(f *runningFixture, callers, callsPerCaller int) (longest time.Duration, failed int) {
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for range callsPerCaller {
+				begin := time.Now()
+				r := f.call(http.MethodGet, false)
+				err := io.ErrUnexpectedEOF
+				if r.Response != nil {
+					_, err = io.Copy(io.Discard, r.Response.Body)
+					_ = r.Response.Body.Close()
+				}
+				mu.Lock()
+				longest = max(longest, time.Since(begin))
+				if err != nil || r.Outcome != tarragonwell.OutcomeComplete {
+					failed++
+				}
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+	return longest, failed
+}
+
+// TestHostileTargetAmongOthers checks that a target whose responses never end gets few
+// calls, like one that fails in another way, and that the calls to the others do not
+// notice it.
+func TestHostileTargetAmongOthers(t *testing.T) {
+	const callers, callsPerCaller = 5, 60
+	for m := range hostile.Modes {
+		if m == hostile.LongerThanLength {
+			// Its responses are complete: what follows them belongs to none.
+			continue
+		}
+		t.Run(m.String(), func(t *testing.T) {
+			t.Parallel()
+			address, calls := startHostileTarget(t, m)
+			f := startService(t, address, startScriptedTarget(t, respond).address, startScriptedTarget(t, respond).address)
+			longest, failed := sendHostileCalls(f, callers, callsPerCaller)
+			if got, want := longest, callTimeout+200*time.Millisecond; got > want {
+				t.Errorf("longest call: got %v, want at most %v", got, want)
+			}
+			t.Logf("%d calls reached it, %d did not end well, longest %v", calls.Load(), failed, longest)
+			status, err := f.Status(f.ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := status.InFlight, 0; got != want {
+				t.Errorf("slots in use at the end: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/service/stream.go
+++ b/internal/service/stream.go
@@ -35,13 +35,17 @@
 
 // attemptLong sends the call once and returns a streamed response.
 func (d *dispatch) attemptLong(ctx context.Context, l *lease, call *tarragonwell.Call) (*tarragonwell.Response, *tarragonwell.AttemptError) {
+	ctx, cancel := streamContext(ctx, call)
 	response, s, err := d.openSegment(ctx, l, call)
 	if err != nil {
+		cancel()
 		return nil, err
 	}
 	response.Body = &streamBody{
 		dispatch: d,
 		ctx:      ctx,
+		cancel:   cancel,
+		status:   response.Status,
 		call:     call,
 		segment:  s,
 		length:   response.Length,
@@ -50,6 +54,15 @@
 	return response, nil
 }
 
+// streamContext returns the context of a long response. It ends when the caller stops
+// waiting, if the caller stated that time.
+func streamContext(ctx context.Context, call *tarragonwell.Call) (context.Context, context.CancelFunc) {
+	if call.CallerTimeLeft <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, call.CallerTimeLeft)
+}
+
 // openSegment sends the call and waits for the response header, at most until the
 // call's deadline.
 func (d *dispatch) openSegment(ctx context.Context, l *lease, call *tarragonwell.Call) (*tarragonwell.Response, *segment, *tarragonwell.AttemptError) {
@@ -92,8 +105,14 @@
 // truncated body never looks complete.
 type streamBody struct {
 	dispatch *dispatch
-	ctx      context.Context
-	call     *tarragonwell.Call
+	// ctx bounds the whole response, with all resumptions. Close cancels it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// status is that of the first response.
+	status int
+	// end is the error that ended the body; io.EOF at its end, nil before.
+	end  error
+	call *tarragonwell.Call
 	// segment is nil once the body is closed.
 	segment *segment
 	// offset is the number of bytes read so far.
@@ -117,32 +136,34 @@
 	b.segment.stallTimer.Stop()
 	b.offset += int64(n)
 	if err == nil || err == io.EOF {
+		b.end = err
 		return n, err
 	}
-	if resumeErr := b.resume(); resumeErr != nil {
+	if resumeErr := b.resume(err); resumeErr != nil {
 		return n, eris.Wrap(err, resumeErr.Error())
 	}
 	return n, nil
 }
 
-// Close implements io.Closer. The attempt counts as successful even if the body has
-// not been read to its end: that is the caller's choice.
+// Close implements io.Closer. It releases the lease, unless a failure did.
 func (b *streamBody) Close() error {
+	defer b.cancel()
 	if b.segment == nil {
 		return nil
 	}
-	b.segment.close(b.dispatch, scheduling.AttemptSucceeded)
+	result := resultForStatus(b.status)
+	if b.end != io.EOF {
+		result = unfinishedResult(b.ctx, b.end)
+	}
+	b.segment.close(b.dispatch, result)
 	b.segment = nil
 	return nil
 }
 
-// resume closes the segment and opens the rest of the response at another target.
-func (b *streamBody) resume() error {
-	result := scheduling.AttemptFailed
-	if b.ctx.Err() != nil {
-		result = scheduling.AttemptCancelled
-	}
-	b.segment.close(b.dispatch, result)
+// resume closes the segment, which ended with an error, and opens the rest of the
+// response at another target.
+func (b *streamBody) resume(cause error) error {
+	b.segment.close(b.dispatch, unfinishedResult(b.ctx, cause))
 	b.segment = nil
 	for b.resumes < maxResumes {
 		b.resumes++
@@ -150,7 +171,7 @@
 			return eris.New("the answer can't be resumed")
 		}
 		if b.ctx.Err() != nil {
-			return eris.New("the caller left")
+			return eris.New("the caller left or no longer waits")
 		}
 		if b.openRemainder() {
 			b.dispatch.dispatcher.metrics.resumes.Inc()
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -41,8 +41,7 @@
 
 const (
 	// AttemptSucceeded means that a response was received that is not a server error.
-	// It is complete, or the caller closed it early. The status of a long response is
-	// not considered.
+	// It is complete.
 	AttemptSucceeded AttemptResult = iota
 	// AttemptFailed means that the connection failed, the response came too late or
 	// was a server error.
@@ -52,8 +51,8 @@
 	// AttemptMisdirected means that the response came from another target, which now
 	// has the address.
 	AttemptMisdirected
-	// AttemptCancelled means that the instance cancelled the attempt, which is no
-	// evidence of the target's health.
+	// AttemptCancelled means that the instance cancelled the attempt, or that the caller
+	// did not read the response to its end, which is no evidence of the target's health.
 	AttemptCancelled
 )
 
