Contain panics to the work or the task that they occur in

Cause: nothing recovered outside of net/http. One malformed message or entry that panicked in a decoder ended the process, and again after its restart, as shown for a page of the store. The standard logger, to which net/http writes bytes that a target sends out of turn, wrote up to a buffer of them to stderr, past the bound of the log.

Change: work on one input (a message of a peer, a page, rules, settings, a probe, an attempt) is isolated: it fails, is logged and counted, and the task goes on. A task that panics ends the instance gracefully: it stops accepting, drains and exits with the error, so that no instance is ready without one of its tasks; its dependent tasks end with it. Long log lines are truncated, the standard logger is redirected to the bounded log.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 # Everything that CI checks.
 test: lint check-generated check-linked unit
+	@$(MAKE) --no-print-directory fuzz FUZZ_TIME=2000x
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "gofmt: the files above differ"; exit 1; }
@@ -70,6 +71,14 @@
 slopes:
 	$(GO) run ./test/slopes
 
+# Fuzzes the decoders of everything that comes from outside: make fuzz FUZZ_TIME=10m (or 2000x, for a number of inputs)
+FUZZ_TIME ?= 30s
+FUZZ_TARGETS = pkg/rulesfile:FuzzParse pkg/settingsfile:FuzzParse \
+	platform:FuzzDecodeTarget platform:FuzzPage platform:FuzzConfiguration platform:FuzzResponseHeader \
+	internal/peer:FuzzExchange internal/peer:FuzzListChange internal/peer:FuzzOperate
+
 fuzz:
-	$(GO) test ./pkg/rulesfile -run '^$$' -fuzz FuzzParse -fuzztime 30s
-	$(GO) test ./pkg/settingsfile -run '^$$' -fuzz FuzzParse -fuzztime 30s
+	@for t in $(FUZZ_TARGETS); do \
+		echo "fuzzing $$t for $(FUZZ_TIME)"; \
+		$(GO) test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}$$" -fuzztime $(FUZZ_TIME) || exit 1; \
+	done
--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/tarragonwell/tarragonwell/internal/instance"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
@@ -66,10 +67,20 @@
 	return !same
 }
 
+// load reads the settings file. A panic is an error, as the file may hold anything.
+func (r *reloader) load() (s *settingsfile.Settings, err error) {
+	defer func() {
+		if x := recover(); x != nil {
+			err = eris.Errorf("panic: %v", x)
+		}
+	}()
+	return settingsfile.Load(r.path)
+}
+
 // reload applies the settings in the file. If they are invalid, the instance keeps
 // its present settings.
 func (r *reloader) reload(cause string) {
-	s, err := settingsfile.Load(r.path)
+	s, err := r.load()
 	if err != nil {
 		r.log.Error("settings-refused", "cause", cause, "error", err)
 		return
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -63,6 +63,7 @@
 		return err
 	}
 	defer runInBackground(sink.Run)()
+	logs.RedirectStandard(routineLog)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	l.Info("starting", "callers", s.CallerListenAddress, "peers", s.PeerListenAddress, "operators", s.OperatorListenAddress, "version", version())
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -29,6 +29,8 @@
 	// Incarnation is the random ID of this run of the process.
 	Incarnation tarragonwell.Incarnation
 	Started     time.Time
+	// OnTaskFailure is called if a task panics. It must not block. Nil ignores it.
+	OnTaskFailure func(error)
 }
 
 // SystemClock reads the clocks of the machine.
--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
@@ -35,7 +36,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		rules, err := rc.peers.FetchRules(ctx, m.from)
+		var rules *tarragonwell.PublishedRules
+		err := rc.isolate("fetch rules", func() (err error) {
+			rules, err = rc.peers.FetchRules(ctx, m.from)
+			return err
+		})
 		if err != nil {
 			rc.common.Log.Debug("fetching rules failed", "peer", m.from, "error", err)
 		}
@@ -58,7 +63,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		change, err := rc.peers.FetchList(ctx, m.from, since)
+		var change *tarragonwell.ListChange
+		err := rc.isolate("fetch list", func() (err error) {
+			change, err = rc.peers.FetchList(ctx, m.from, since)
+			return err
+		})
 		if err != nil {
 			rc.common.Log.Debug("fetching the list failed", "peer", m.from, "error", err)
 		}
@@ -85,7 +94,7 @@
 		ctx, cancel := context.WithTimeout(ctx, resyncTimeout)
 		defer cancel()
 		for _, f := range rc.platform.Feeds() {
-			update, err := f.Watch(ctx, after, 0)
+			update, err := rc.watch(ctx, f, after, 0)
 			if err != nil {
 				rc.common.Log.Warn("reading the platform after a pause failed", "feed", f.Name(), "error", err)
 				continue
@@ -98,6 +107,25 @@
 	}()
 }
 
+// watch reads a feed. A panic in its decoder is an error, as any other failure to read.
+func (rc *reconciler) watch(ctx context.Context, f tarragonwell.Feed, after tarragonwell.PlatformPosition, wait time.Duration) (tarragonwell.PlatformUpdate, error) {
+	var update tarragonwell.PlatformUpdate
+	err := rc.isolate("read "+f.Name(), func() (err error) {
+		update, err = f.Watch(ctx, after, wait)
+		return err
+	})
+	return update, err
+}
+
+// isolate runs work on data from outside and returns its error, also if it panics.
+func (rc *reconciler) isolate(name string, work func() error) error {
+	var err error
+	if panicked := rc.common.Isolate(name, func() { err = work() }); panicked != nil {
+		return panicked
+	}
+	return err
+}
+
 // submit sends an update that was read from the platform to the task.
 func (rc *reconciler) submit(u tarragonwell.PlatformUpdate) {
 	if u.Rules != nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -166,12 +167,16 @@
 	}
 }
 
-// Run serves until ctx ends, then shuts down gracefully. It fails with ErrListen.
+// Run serves until ctx ends or a task fails, then shuts down gracefully. It fails with
+// ErrListen, or with the error of the failed task.
 func (i *Instance) Run(ctx context.Context) error {
 	l, err := i.listen()
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	i.common.OnTaskFailure = func(err error) { cancel(err) }
 	// The tasks run on after ctx ends, until the shutdown is complete.
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -182,6 +187,9 @@
 	i.shutDown(servers)
 	stop()
 	wg.Wait()
+	if err := context.Cause(ctx); errors.Is(err, common.ErrPanic) {
+		return err
+	}
 	return nil
 }
 
@@ -233,14 +241,19 @@
 }
 
 func (i *Instance) startTasks(ctx context.Context, wg *sync.WaitGroup) {
-	wg.Go(func() { i.trail.Run(ctx) })
-	wg.Go(func() { i.reconciler.Run(ctx) })
-	wg.Go(func() { i.peers.Run(ctx) })
+	start := func(name string, run func(context.Context)) {
+		wg.Go(func() {
+			i.common.RunTask(name, func() { run(ctx) })
+		})
+	}
+	start("audit trail", i.trail.Run)
+	start("reconciler", i.reconciler.Run)
+	start("peers", i.peers.Run)
 	if i.operations != nil {
-		wg.Go(func() { i.operations.Run(ctx) })
+		start("operations", i.operations.Run)
 	}
 	for _, f := range i.adapters.Platform.Feeds() {
-		wg.Go(func() { i.watcher(f).Run(ctx) })
+		start("watcher of "+f.Name(), i.watcher(f).Run)
 	}
 }
 
@@ -263,7 +276,7 @@
 		},
 		Read: func(ctx context.Context, full bool, wait time.Duration) error {
 			after, wait := i.watchArguments(full, wait)
-			update, err := f.Watch(ctx, after, wait)
+			update, err := i.reconciler.watch(ctx, f, after, wait)
 			if err != nil {
 				return err
 			}
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -163,6 +163,9 @@
 	defer rc.mailbox.MarkStopped()
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	// The services end with this task, also if it panics.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	st := &reconcilerState{
 		running:        map[string]*runningService{},
 		invalidEntries: map[string]bool{},
@@ -253,7 +256,11 @@
 	if !v.After(current) && (m.from != fromPlatform || control.Enabled(control.NewestRules)) {
 		return false
 	}
-	set, err := rc.platform.ParseRules(m.rules)
+	var set *tarragonwell.RuleSet
+	err := rc.isolate("parse rules", func() (err error) {
+		set, err = rc.platform.ParseRules(m.rules)
+		return err
+	})
 	if err != nil {
 		rc.refuse(st, v, m.from, err)
 		return false
@@ -265,7 +272,10 @@
 
 // applyList applies a change of the list and reports whether the list has changed.
 func (rc *reconciler) applyList(st *reconcilerState, m listUpdate) bool {
-	changed, ok := st.list.Apply(rc.common.Clock.Now(), rc.peers.Snapshot().PlatformConfirmedAt, m.change)
+	changed, ok := false, true
+	_ = rc.common.Isolate("apply list", func() {
+		changed, ok = st.list.Apply(rc.common.Clock.Now(), rc.peers.Snapshot().PlatformConfirmedAt, m.change)
+	})
 	if !ok {
 		rc.common.Log.Warn("list change skips revisions", "since", m.change.Since, "have", st.list.Revision(), "from", m.from)
 	}
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -117,7 +117,7 @@
 		},
 	})
 	wg.Go(func() {
-		s.Run(ctx)
+		rc.common.RunTask("service "+rule.Name, func() { s.Run(ctx) })
 	})
 	return &runningService{
 		dispatcher: s,
--- a/internal/logs/sink.go
+++ b/internal/logs/sink.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -23,6 +24,10 @@
 	// urgentReserveDivisor sets the part of the burst that is reserved for urgent
 	// lines: the burst divided by it.
 	urgentReserveDivisor = 2
+	// maxLineBytes bounds a line. A longer one is replaced by one that quotes its start.
+	maxLineBytes = 8 << 10
+	// quotedBytes is the length of that start.
+	quotedBytes = 512
 	// reportInterval is the time between two reports of dropped lines.
 	reportInterval = time.Second
 )
@@ -82,16 +87,31 @@
 // Write implements io.Writer. It queues a copy of the line, or drops the line if
 // the rate limit is reached or the queue is full. It never blocks or fails.
 func (q *lineQueue) Write(line []byte) (int, error) {
+	written := len(line)
+	if len(line) > maxLineBytes {
+		line = truncatedLine(line)
+	}
 	if !q.sink.allow(len(line), q.routine) {
 		q.sink.countDrop()
-		return len(line), nil
+		return written, nil
 	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
 		q.sink.countDrop()
 	}
-	return len(line), nil
+	return written, nil
+}
+
+// truncatedLine returns a line that quotes the start of one that is too long.
+func truncatedLine(line []byte) []byte {
+	start, err := json.Marshal(string(line[:quotedBytes]))
+	if err != nil {
+		// A string can always be encoded.
+		start = []byte(`""`)
+	}
+	return fmt.Appendf(nil, "{\"time\":%q,\"level\":\"warn\",\"msg\":\"line-truncated\",\"bytes\":%d,\"start\":%s}\n",
+		time.Now().Format(time.RFC3339Nano), len(line), start)
 }
 
 // allow reports whether a line of the given size is within the rate limit, and
--- a/internal/logs/sink_test.go
+++ b/internal/logs/sink_test.go
@@ -3,11 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	stdlog "log"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/charmbracelet/log"
 )
 
 // stalledOutput is an output whose writes block until release is closed.
@@ -79,3 +84,37 @@
 		}
 	})
 }
+
+// TestLongLineIsTruncated checks that a line of any length takes little space and is
+// valid JSON.
+func TestLongLineIsTruncated(t *testing.T) {
+	var out bytes.Buffer
+	s := NewSink(&out, DefaultBytesPerSecond)
+	if _, err := s.Urgent().Write(bytes.Repeat([]byte("\xff\"\n"), 1<<20)); err != nil {
+		t.Fatal(err)
+	}
+	s.flush()
+	if got, want := out.Len(), maxLineBytes; got > want || got == 0 {
+		t.Errorf("got %d bytes, want 1 to %d", got, want)
+	}
+	if got, want := json.Valid(out.Bytes()), true; got != want {
+		t.Errorf("got %s, want JSON", out.Bytes())
+	}
+}
+
+// TestStandardLoggerIsBounded checks that what net/http writes to the standard logger
+// becomes a short JSON line.
+func TestStandardLoggerIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	RedirectStandard(log.NewWithOptions(&out, log.Options{
+		Formatter: log.JSONFormatter,
+	}))
+	defer stdlog.SetOutput(os.Stderr)
+	stdlog.Printf("unsolicited response %s", strings.Repeat("\xff\n", 4096))
+	if got, want := out.Len(), 2*maxStandardBytes; got > want || got == 0 {
+		t.Errorf("got %d bytes, want 1 to %d", got, want)
+	}
+	if got, want := json.Valid(out.Bytes()), true; got != want {
+		t.Errorf("got %s, want JSON", out.Bytes())
+	}
+}
--- a/internal/operations/run.go
+++ b/internal/operations/run.go
@@ -106,7 +106,10 @@
 // disconnects: an operation that has begun needs an outcome.
 func (o *Operations) dispatch(ctx context.Context, op *tarragonwell.Operation, finished chan<- tarragonwell.StoredResult) {
 	go func() {
-		result := o.options.Dispatcher.DispatchOperation(context.WithoutCancel(ctx), op)
+		result := unknownResult("internal error")
+		_ = o.common.Isolate("operation", func() {
+			result = o.options.Dispatcher.DispatchOperation(context.WithoutCancel(ctx), op)
+		})
 		o.mailbox.Post(finishMessage{
 			ticket: op.Ticket,
 			result: result,
--- /dev/null
+++ b/internal/peer/message_test.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonwell/tarragonwell/internal/audit"
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/standin/hostile"
+)
+
+// newPeers returns Peers that are not running. onLeaving may be nil.
+func newPeers(t testing.TB, onLeaving func()) *Peers {
+	t.Helper()
+	l, err := common.NewLogger(io.Discard, "error", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(Options{
+		Common: &common.Dependencies{
+			Settings: &settingsfile.Settings{
+				GossipInterval: time.Hour,
+			},
+			Log:     l,
+			Metrics: metrics.NewSet(),
+			Audit:   audit.NewTrail(1),
+			Clock:   common.SystemClock{},
+		},
+		OnNewerRules:      func(string, tarragonwell.RulesVersion) {},
+		OnNewerList:       func(string, uint64) {},
+		OnTargetSuspected: func(string, string, time.Time) {},
+		OnTargetLeaving: func(tarragonwell.LeavingTarget, string) {
+			if onLeaving != nil {
+				onLeaving()
+			}
+		},
+	})
+}
+
+// TestMessageThatPanicsIsDropped checks that a message of a peer that can't be processed
+// ends neither the task nor the exchange, and that later ones are processed.
+func TestMessageThatPanicsIsDropped(t *testing.T) {
+	calls := 0
+	p := newPeers(t, func() {
+		calls++
+		if calls == 1 {
+			panic("odd message")
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { p.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	for n, id := range []string{"i-1", "i-2"} {
+		reply := make(chan gossip, 1)
+		p.mailbox.Post(gossipMessage{
+			gossip: gossip{
+				leaving: []*pb.LeavingTarget{
+					{
+						Service:     "s",
+						Address:     id,
+						RemainingMs: 1000,
+					},
+				},
+			},
+			reply: reply,
+		})
+		select {
+		case <-reply:
+		case <-time.After(time.Second):
+			t.Fatalf("message %d: got no reply", n)
+		}
+	}
+	if got, want := calls, 2; got != want {
+		t.Errorf("announcements processed: got %d, want %d", got, want)
+	}
+}
+
+// TestHostilePeer checks that an exchange with a peer whose responses never end, or are
+// none, fails within its timeout.
+func TestHostilePeer(t *testing.T) {
+	const grace = 300 * time.Millisecond
+	for m := range hostile.Modes {
+		t.Run(m.String(), func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go (&hostile.Server{
+				Mode: m,
+			}).Serve(l)
+			p := newPeers(t, nil)
+			t.Cleanup(p.client.CloseIdleConnections)
+			begin := time.Now()
+			if got := p.exchangeAndMerge(t.Context(), l.Addr().String(), &pb.ExchangeRequest{}); got != nil {
+				t.Errorf("got %v, want no response", got)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
+			defer cancel()
+			if _, err := p.FetchList(ctx, l.Addr().String(), 0); !errors.Is(err, ErrRequestFailed) {
+				t.Errorf("list: got %v, want ErrRequestFailed", err)
+			}
+			if got, want := time.Since(begin), 2*exchangeTimeout+grace; got > want {
+				t.Errorf("ended after %v, want at most %v", got, want)
+			}
+		})
+	}
+}
+
+// FuzzExchange checks that no gossip of a peer ends the task.
+func FuzzExchange(f *testing.F) {
+	seed, err := proto.Marshal(&pb.ExchangeRequest{
+		Members: []*pb.Member{
+			{
+				PeerAddress: "10.0.0.1:1",
+				Incarnation: []byte("short"),
+				State:       99,
+			},
+		},
+		Leaving: []*pb.LeavingTarget{
+			{
+				Service:     "s",
+				Address:     "i-1",
+				RemainingMs: 1<<32 - 1,
+				Born:        1<<64 - 1,
+			},
+		},
+		PlatformAgeMs: 1<<32 - 1,
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var m pb.ExchangeRequest
+		if proto.Unmarshal(content, &m) != nil {
+			return
+		}
+		p := newPeers(t, nil)
+		st := p.newState()
+		now := time.Unix(1_000_000, 0)
+		p.merge(now, st, "10.0.0.1:1", gossipFromProto(&m))
+		p.newGossip(now, st, false)
+		st.view.Expire(now)
+		p.publishSnapshot(st)
+	})
+}
+
+// FuzzListChange checks that no relayed list is more than an error.
+func FuzzListChange(f *testing.F) {
+	seed, err := proto.Marshal(&pb.ListChange{
+		Revision: 1<<64 - 1,
+		Targets: []*pb.ListedTarget{
+			{
+				Id:     "i-1",
+				Slots:  1<<32 - 1,
+				ColdMs: 1<<32 - 1,
+			},
+		},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var m pb.ListChange
+		if proto.Unmarshal(content, &m) != nil {
+			return
+		}
+		for _, l := range listChangeFromProto(&m).Targets {
+			if l.Slots < 0 || l.WarmUpRemaining < 0 {
+				t.Errorf("got %+v", l)
+			}
+		}
+	})
+}
+
+// FuzzOperate checks that no forwarded operation and no hand-over ends the process.
+func FuzzOperate(f *testing.F) {
+	f.Add([]byte("\x0a\x02\x0a\x00"))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		var operate pb.OperateRequest
+		if proto.Unmarshal(content, &operate) == nil {
+			// The error of a malformed ticket is the response.
+			_, _ = operationFromProto(&operate)
+		}
+		var response pb.OperateResponse
+		if proto.Unmarshal(content, &response) == nil {
+			forwardResponseFromProto(&response)
+		}
+		var handOver pb.HandOverRequest
+		if proto.Unmarshal(content, &handOver) == nil {
+			handOverFromProto(&handOver)
+		}
+	})
+}
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -263,7 +263,11 @@
 	now := p.options.Common.Clock.Now()
 	switch m := message.(type) {
 	case gossipMessage:
-		push := p.merge(now, st, m.from, m.gossip)
+		push := false
+		// A message that can't be merged must not end the task.
+		_ = p.options.Common.Isolate("merge gossip", func() {
+			push = p.merge(now, st, m.from, m.gossip)
+		})
 		if m.reply != nil {
 			m.reply <- p.newGossip(now, st, m.gossip.brief)
 		}
@@ -384,7 +388,13 @@
 func (p *Peers) exchangeAndMerge(ctx context.Context, address string, request *pb.ExchangeRequest) *pb.ExchangeResponse {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	response, err := p.Exchange(ctx, address, request)
+	var response *pb.ExchangeResponse
+	var err error
+	if panicked := p.options.Common.Isolate("gossip exchange", func() {
+		response, err = p.Exchange(ctx, address, request)
+	}); panicked != nil {
+		return nil
+	}
 	if err != nil {
 		p.options.Common.Log.Debug("gossip exchange failed", "peer", address, "error", err)
 		return nil
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -12,10 +12,30 @@
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
-// attempt sends the call once. The response to a short call is buffered until it
+// attempt sends the call once. If it panics, the lease is released and the call may have
+// run.
+func (d *dispatch) attempt(ctx context.Context, l *lease, number, retriesLeft int) (response *tarragonwell.Response, err *tarragonwell.AttemptError) {
+	panicked := d.dispatcher.options.Common.Isolate("attempt", func() {
+		response, err = d.attemptOnce(ctx, l, number, retriesLeft)
+	})
+	if panicked == nil {
+		return response, err
+	}
+	l.release(scheduling.Release{
+		Kind:   d.call.Route.Kind,
+		Result: scheduling.AttemptCancelled,
+	})
+	return nil, &tarragonwell.AttemptError{
+		Stage:  tarragonwell.StageSent,
+		Reason: "internal error",
+		Err:    panicked,
+	}
+}
+
+// attemptOnce sends the call once. The response to a short call is buffered until it
 // is complete; the response to a long call, or one that is too large to buffer,
 // is streamed.
-func (d *dispatch) attempt(ctx context.Context, l *lease, number, retriesLeft int) (*tarragonwell.Response, *tarragonwell.AttemptError) {
+func (d *dispatch) attemptOnce(ctx context.Context, l *lease, number, retriesLeft int) (*tarragonwell.Response, *tarragonwell.AttemptError) {
 	call := *d.call
 	call.Attempt = number
 	call.RetriesLeft = retriesLeft
--- a/internal/service/lease.go
+++ b/internal/service/lease.go
@@ -8,11 +8,13 @@
 )
 
 // lease is the permit for one attempt at a target. It does not expire and must be
-// released exactly once.
+// released.
 type lease struct {
 	dispatcher *Dispatcher
 	grant      *scheduling.Grant
 	target     *target.Client
+	// released is set once the lease has been released.
+	released bool
 }
 
 // acquire requests a target from the service's task and waits for the decision.
@@ -87,7 +89,12 @@
 	}
 }
 
+// release returns the lease. Further calls have no effect.
 func (l *lease) release(r scheduling.Release) {
+	if l.released {
+		return
+	}
+	l.released = true
 	r.TargetID = l.grant.TargetID
 	r.JoinSequence = l.grant.JoinSequence
 	r.Trial = l.grant.Trial
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -130,7 +130,7 @@
 		},
 	})
 	targetTasks.Go(func() {
-		t.Run(ctx)
+		dr.options.Common.RunTask("target "+l.ID, func() { t.Run(ctx) })
 	})
 	return &targetHandle{
 		target: t,
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -185,6 +185,9 @@
 	st := dr.newState()
 	defer dr.mailbox.MarkStopped()
 	defer targetTasks.Wait()
+	// The targets' tasks end with this task, also if it panics.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	dr.setTargets(ctx, st, &targetTasks, dr.options.Targets)
 	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -189,7 +189,13 @@
 	start := cl.options.Common.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	response, err := cl.fetchLoad(ctx)
+	var response tarragonwell.ProbeResponse
+	var err error
+	if panicked := cl.options.Common.Isolate("probe", func() {
+		response, err = cl.fetchLoad(ctx)
+	}); panicked != nil {
+		err = panicked
+	}
 	cl.options.Report(ProbeReport{
 		ID:           cl.options.Listed.ID,
 		Response:     response,
