--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -17,6 +17,7 @@
 type explainCommand struct {
 	Method string `arg:"" help:"The method of the request, such as GET."`
 	Path   string `arg:"" help:"The path of the request, such as /bookings/7."`
+	Host   string `help:"The host of the request, for rules with hosts." placeholder:"HOST"`
 	Rules  string `help:"Read the rules from this file." type:"path" placeholder:"FILE" xor:"source" required:""`
 	From   string `help:"Query the instance that listens for operators at this address (listen.operators)." placeholder:"IP:PORT" xor:"source" required:""`
 }
@@ -42,16 +43,17 @@
 // explain returns the rules that apply to the request, from a rules file or from a
 // query to an instance.
 func (c *explainCommand) explain() (*pb.ExplainResponse, error) {
+	request := &pb.ExplainRequest{
+		Method: c.Method,
+		Path:   c.Path,
+		Host:   c.Host,
+	}
 	if c.Rules != "" {
 		set, err := readRules(c.Rules)
 		if err != nil {
 			return nil, err
 		}
-		return operator.NewExplainResponse(set, c.Method, c.Path), nil
-	}
-	request := &pb.ExplainRequest{
-		Method: c.Method,
-		Path:   c.Path,
+		return operator.NewExplainResponse(set, request), nil
 	}
 	response, err := operator.NewClient(c.From).Explain(context.Background(), connect.NewRequest(request))
 	if err != nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -272,7 +272,7 @@
 			return s.IsReader, s.PlatformConfirmedAt
 		},
 		RefreshFromPeers: func(ctx context.Context) {
-			i.peers.GossipWith(ctx, i.peers.SampleLocal(refreshPeerCount))
+			i.peers.Refresh(ctx, i.peers.SampleLocal(refreshPeerCount))
 		},
 		Read: func(ctx context.Context, full bool, wait time.Duration) error {
 			after, wait := i.watchArguments(full, wait)
--- a/internal/instance/operation.go
+++ b/internal/instance/operation.go
@@ -6,7 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
+	"net/url"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -27,8 +27,12 @@
 	if routing == nil {
 		return notRun("no rules are in force yet")
 	}
-	path, _, _ := strings.Cut(op.RequestURI, "?")
-	route := routing.Match("", op.Method, path)
+	u, err := url.ParseRequestURI(op.RequestURI)
+	if err != nil {
+		return notRun("the request's path is malformed")
+	}
+	// As for other calls, the decoded path and the host select the route.
+	route := routing.Match(http.Header(op.Header).Get("Host"), op.Method, u.Path)
 	if route == nil {
 		return notRun("no rule routes this request")
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -107,13 +107,13 @@
 	if set == nil {
 		return nil, connect.NewError(connect.CodeNotFound, nil)
 	}
-	return connect.NewResponse(NewExplainResponse(set, r.Msg.GetMethod(), r.Msg.GetPath())), nil
+	return connect.NewResponse(NewExplainResponse(set, r.Msg)), nil
 }
 
 // NewExplainResponse returns the rules that apply to a request as an API response. The
 // command explain also uses it, on a rules file without an instance.
-func NewExplainResponse(set *tarragonwell.RuleSet, method, path string) *pb.ExplainResponse {
-	lines := rules.Explain(set, method, path)
+func NewExplainResponse(set *tarragonwell.RuleSet, r *pb.ExplainRequest) *pb.ExplainResponse {
+	lines := rules.Explain(set, r.GetHost(), r.GetMethod(), r.GetPath())
 	response := &pb.ExplainResponse{
 		Found:    len(lines) > 0,
 		Revision: set.Version.Revision,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,6 +31,8 @@
 	pingInterval    = 5 * time.Second
 	pingTimeout     = time.Second
 	maxMessageBytes = 64 << 20
+	// refreshBytes is an estimate of the size of an exchange in both directions.
+	refreshBytes = 1 << 10
 )
 
 // ErrRequestFailed means that a request to a peer failed.
@@ -158,8 +160,22 @@
 // ErrDeclined means that a peer declined to take over operations.
 var ErrDeclined = eris.New("the peer declined the hand-over")
 
-// GossipWith runs a gossip round with the given peers, without a traffic limit, and
-// returns the versions of the rules of those that responded.
+// Refresh asks the given peers for their gossip, within the traffic limit of relayed
+// confirmations: while the platform fails, all instances do so again and again.
+func (p *Peers) Refresh(ctx context.Context, addresses []string) {
+	for n := range addresses {
+		if !p.relayLimiter.AllowN(p.options.Common.Clock.Now(), refreshBytes) {
+			p.countSkipped()
+			addresses = addresses[:n]
+			break
+		}
+	}
+	p.GossipWith(ctx, addresses)
+}
+
+// GossipWith runs a gossip round with the given peers and returns the versions of the
+// rules of those that responded. It has no traffic limit, as instances need it only when
+// they start and after a pause.
 func (p *Peers) GossipWith(ctx context.Context, addresses []string) []tarragonwell.RulesVersion {
 	// An empty gossip field asks for the instance's own gossip and merges nothing.
 	g, err := task.Ask(ctx, p.mailbox, func(reply chan<- gossip) any {
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,3 +209,36 @@
 		}
 	})
 }
+
+// TestRefreshIsLimited checks that asking peers again and again, as while the platform
+// fails, stays within the traffic limit.
+func TestRefreshIsLimited(t *testing.T) {
+	p := newPeers(t, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { p.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	var connections atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			_ = c.Close()
+		}
+	}()
+	for range 10 * burstBytes / refreshBytes {
+		p.Refresh(ctx, []string{l.Addr().String()})
+	}
+	if got, want := connections.Load(), int64(2*burstBytes/refreshBytes); got > want || got == 0 {
+		t.Errorf("got %d exchanges, want 1 to %d", got, want)
+	}
+}
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -33,8 +33,10 @@
 	// These limits, in bytes per second, apply to gossip rounds, to confirmations that
 	// are relayed within the data centre, and to suspicions. Both directions count; a
 	// response is assumed to be as large as its request. The limits add up to 5 KiB/s
-	// per instance, without sendToFirst and GossipWith, which are not limited. They are
-	// separate so that many suspicions during an outage do not delay the rules.
+	// per instance. GossipWith and sendToFirst are not limited: the former is rare, and
+	// the latter sends one message for each confirmation and data centre, without which a
+	// whole data centre would read the platform itself. The limits are separate so that
+	// many suspicions during an outage do not delay the rules.
 	roundBytesPerSecond   = 2 << 10
 	relayBytesPerSecond   = 5 << 9
 	suspectBytesPerSecond = 1 << 9
--- a/internal/service/notice_test.go
+++ b/internal/service/notice_test.go
@@ -28,6 +28,12 @@
 
 // startService runs a service with the targets at the addresses until the test ends.
 func startService(t *testing.T, addresses ...string) *runningFixture {
+	t.Helper()
+	return startServiceWith(t, nil, addresses...)
+}
+
+// startServiceWith is startService with options that configure changes, unless it is nil.
+func startServiceWith(t *testing.T, configure func(*Options), addresses ...string) *runningFixture {
 	t.Helper()
 	f := &runningFixture{
 		rule:      newRule("s"),
@@ -41,7 +47,7 @@
 			Born:    1,
 		})
 	}
-	f.Dispatcher = New(Options{
+	o := Options{
 		Common:        newCommon(t, common.SystemClock{}),
 		ServiceRule:   f.rule,
 		BudgetDivisor: 1,
@@ -50,7 +56,11 @@
 			f.announced <- l
 			return true
 		},
-	})
+	}
+	if configure != nil {
+		configure(&o)
+	}
+	f.Dispatcher = New(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.ctx = ctx
 	var running sync.WaitGroup
@@ -223,19 +233,21 @@
 // the peers could not take is made again.
 func TestDroppedAnnouncementIsRepeated(t *testing.T) {
 	leaver := startScriptedTarget(t, withState(respond))
-	f := startService(t, leaver.address)
 	drops := 2
-	f.options.AnnounceLeaving = func(l tarragonwell.LeavingTarget) bool {
-		if drops > 0 {
-			drops--
-			return false
+	announced := make(chan tarragonwell.LeavingTarget, 1)
+	f := startServiceWith(t, func(o *Options) {
+		o.AnnounceLeaving = func(l tarragonwell.LeavingTarget) bool {
+			if drops > 0 {
+				drops--
+				return false
+			}
+			announced <- l
+			return true
 		}
-		f.announced <- l
-		return true
-	}
+	}, leaver.address)
 	discard(f.call(http.MethodGet, false))
 	select {
-	case <-f.announced:
+	case <-announced:
 	case <-time.After(callTimeout):
 		t.Error("got no announcement, want it repeated")
 	}
--- a/internal/service/panic_test.go
+++ b/internal/service/panic_test.go
@@ -28,14 +28,9 @@
 // counts as possibly run, and that the service goes on.
 func TestPanicInAttempt(t *testing.T) {
 	s := startScriptedTarget(t, respond)
-	f := startService(t, s.address)
-	f.options.Dialect = panickingDialect{}
-	f.SetTargets([]tarragonwell.ListedTarget{
-		{
-			ID:      "broken",
-			Address: s.address,
-		},
-	})
+	f := startServiceWith(t, func(o *Options) {
+		o.Dialect = panickingDialect{}
+	}, s.address)
 	if got, want := f.call(http.MethodGet, false).Outcome, tarragonwell.OutcomeUnknown; got != want {
 		t.Errorf("got %v, want %v", got, want)
 	}
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -121,7 +121,7 @@
 		Dialect:     dr.options.Dialect,
 		Service:     st.serviceRule,
 		Listed:      l,
-		Connections: st.serviceRule.Connections / max(1, st.budgetDivisor),
+		Connections: st.connections(),
 		Report: func(r target.ProbeReport) {
 			_ = dr.mailbox.Send(ctx, r)
 		},
@@ -138,6 +138,11 @@
 	}
 }
 
+// connections returns the instance's share of the connections to each target.
+func (st *state) connections() int {
+	return st.serviceRule.Connections / max(1, st.budgetDivisor)
+}
+
 // probeInterval returns the time between two probes of a target. It is 0, for no
 // periodic probes, if the service uses placement probes, which draw on the same
 // budget.
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -135,9 +135,8 @@
 }
 
 // Configure applies a changed rule, or changes of the budget divisor or of the number
-// of serving instances. Clients of targets that are already running keep the rule and
-// the number of connections with which they were started; only their probe interval
-// changes.
+// of serving instances. Clients of targets that are already running keep the path of
+// their probes; a changed one applies to targets that join later.
 func (dr *Dispatcher) Configure(rule *tarragonwell.Service, budgetDivisor, servingInstanceCount int) {
 	dr.mailbox.Post(configureMessage{
 		serviceRule:          rule,
@@ -353,6 +352,9 @@
 	}
 	st.scheduler.Configure(o)
 	st.configureProbeIntervals()
+	for _, h := range st.handles {
+		h.target.SetConnections(st.connections())
+	}
 }
 
 func (dr *Dispatcher) status(now time.Time, st *state) Status {
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -21,6 +21,10 @@
 	// callDeadline is the deadline of the current call on the monotonic clock, in
 	// nanoseconds since processStart; 0 if there is none.
 	callDeadline atomic.Int64
+	// limit counts the connection until it is closed; nil for no limit.
+	limit *connLimit
+	// closed is set once the connection has been closed.
+	closed atomic.Bool
 }
 
 // processStart is the reference time for monotonic times in this process.
@@ -33,6 +37,15 @@
 	return c.writes.Load()
 }
 
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	err := c.Conn.Close()
+	if c.closed.CompareAndSwap(false, true) && c.limit != nil {
+		c.limit.release()
+	}
+	return err
+}
+
 // Write implements net.Conn. The deadline is checked immediately before the write. A
 // pause of the process between the two is covered by the deadline check of the target.
 func (c *trackedConn) Write(p []byte) (int, error) {
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -40,9 +40,8 @@
 	// Service is the target's service. It may be nil with the default dialect.
 	Service *tarragonwell.Service
 	Listed  tarragonwell.ListedTarget
-	// Connections is this instance's share of the target's connections. Each of the two
-	// transports may open that many, and at least minConnections, so that both together
-	// may open twice the share or more.
+	// Connections is this instance's share of the target's connections, which the client
+	// may have open at the same time; at least minConnections in any case.
 	Connections int
 	// Report is called with the result of each probe. It must not block for long.
 	Report func(ProbeReport)
@@ -82,6 +81,7 @@
 	// nonRepeatable is the transport for calls that must not be repeated. It closes
 	// idle connections early.
 	nonRepeatable *http.Transport
+	limit         *connLimit
 	mailbox       *task.Mailbox[any]
 	// restriction is replaced as a whole, so that senders never block; nil for none.
 	restriction atomic.Pointer[Restriction]
@@ -100,13 +100,21 @@
 	if o.Dialect == nil {
 		o.Dialect = Dialect{}
 	}
-	return &Client{
-		options:       o,
-		dialect:       o.Dialect,
-		mailbox:       task.NewMailbox[any](mailboxSize),
-		repeatable:    newTransport(o.Connections, idleTimeout),
-		nonRepeatable: newTransport(o.Connections, nonRepeatableIdleTimeout),
+	cl := &Client{
+		options: o,
+		dialect: o.Dialect,
+		mailbox: task.NewMailbox[any](mailboxSize),
 	}
+	cl.limit = newConnLimit(o.Connections, cl.closeIdleConnections)
+	cl.repeatable = newTransport(cl.limit, o.Connections, idleTimeout)
+	cl.nonRepeatable = newTransport(cl.limit, o.Connections, nonRepeatableIdleTimeout)
+	return cl
+}
+
+// SetConnections changes the number of connections that the client may have open. Those
+// that are in use beyond it are closed when their calls end.
+func (cl *Client) SetConnections(n int) {
+	cl.limit.set(n)
 }
 
 // SetProbeInterval sets the interval between periodic probes. The initial interval of 0
--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -25,20 +25,25 @@
 	connBufferSize = 2 << 10
 )
 
-// newTransport returns a transport for one target.
-func newTransport(connections int, idle time.Duration) *http.Transport {
+// newTransport returns a transport for one target, whose connections count against the
+// limit.
+func newTransport(limit *connLimit, connections int, idle time.Duration) *http.Transport {
 	dialer := sockets.NewDialer(dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if err := limit.acquire(ctx); err != nil {
+				return nil, err
+			}
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
+				limit.release()
 				return nil, err
 			}
 			return &trackedConn{
-				Conn: conn,
+				Conn:  conn,
+				limit: limit,
 			}, nil
 		},
-		MaxConnsPerHost:        max(minConnections, connections),
 		MaxIdleConnsPerHost:    max(minConnections, connections),
 		IdleConnTimeout:        idle,
 		DisableCompression:     true,
--- a/pkg/tarragonwell/operation/table.go
+++ b/pkg/tarragonwell/operation/table.go
@@ -162,8 +162,7 @@
 
 // Finish records the final outcome of a dispatched ticket. If the stored bodies would
 // exceed MaxBytes, the result is recorded without its header and body, and with an
-// unknown outcome. While a hand-over exceeds the bound, this applies to every result,
-// even one without a body.
+// unknown outcome. A result without a body is always recorded as it is.
 func (t *Table) Finish(ticket tarragonwell.Ticket, result tarragonwell.StoredResult) {
 	s := t.shards[ticket.Incarnation]
 	if s == nil {
@@ -173,7 +172,7 @@
 	if e == nil || !e.running {
 		return
 	}
-	if t.bytes+len(result.Body) > t.maxBytes() {
+	if len(result.Body) > 0 && t.bytes+len(result.Body) > t.maxBytes() {
 		result = tarragonwell.StoredResult{
 			Outcome: tarragonwell.OutcomeUnknown,
 			Status:  result.Status,
--- a/pkg/tarragonwell/operation/table_test.go
+++ b/pkg/tarragonwell/operation/table_test.go
@@ -243,3 +243,23 @@
 		t.Errorf("unused: got %v, want %v", got, want)
 	}
 }
+
+// TestResultWithoutBodyIsKept checks that a result without a body, such as not-run, is
+// recorded as it is while a hand-over exceeds the bound of stored bodies.
+func TestResultWithoutBodyIsKept(t *testing.T) {
+	table := openTable(1)
+	first, second := mintOne(t, table, start), mintOne(t, table, start)
+	fingerprint := Fingerprint("POST", "/releases", nil)
+	table.Begin(start, first, fingerprint)
+	table.Finish(first, completeResult())
+	table.MaxBytes = 1
+	table.Begin(start, second, fingerprint)
+	table.Finish(second, tarragonwell.StoredResult{
+		Outcome: tarragonwell.OutcomeNotRun,
+		Reason:  "refused",
+	})
+	got := table.Begin(start, second, fingerprint).Result.Outcome
+	if want := tarragonwell.OutcomeNotRun; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -55,15 +55,11 @@
 	Limits CallerLimits
 }
 
-// CallerLimits bounds callers' requests and idle connections.
+// CallerLimits bounds callers' requests.
 type CallerLimits struct {
 	// RequestBodyBytes is the maximum size of a request body; 0 selects the limit of
 	// the settings file.
 	RequestBodyBytes int64
-	// MinIdleTime is how long an idle connection of a caller is kept open at least; 0
-	// if the rules do not state it. The server for callers closes no idle connections,
-	// so the minimum always holds.
-	MinIdleTime time.Duration
 }
 
 // RuleLine is the source of one rule.
--- a/pkg/tarragonwell/rules/matcher.go
+++ b/pkg/tarragonwell/rules/matcher.go
@@ -93,14 +93,20 @@
 }
 
 // Explain returns the rules that apply to a request: those of its route, kind and
-// service, and the fleet's if there is one. It returns nil if no route matches. Explain
-// considers only routes without a host, and these must not have a Split.
-func Explain(s *tarragonwell.RuleSet, method, path string) []tarragonwell.RuleLine {
-	r := NewMatcher(s.Routes).Match(method, path)
+// service, or services if the route divides its traffic, and the fleet's if there is one.
+// It returns nil if no route matches. host may be empty.
+func Explain(s *tarragonwell.RuleSet, host, method, path string) []tarragonwell.RuleLine {
+	r := NewMatcher(s.Routes).MatchHost(host, method, path)
 	if r == nil {
 		return nil
 	}
-	lines := []tarragonwell.RuleLine{r.Line, r.Kind.Line, r.Service.Line}
+	lines := []tarragonwell.RuleLine{r.Line, r.Kind.Line}
+	if r.Service != nil {
+		lines = append(lines, r.Service.Line)
+	}
+	for _, part := range r.Split {
+		lines = append(lines, part.Service.Line)
+	}
 	if s.Fleet.Line.Number > 0 {
 		lines = append(lines, s.Fleet.Line)
 	}
--- a/pkg/tarragonwell/rules/rules_test.go
+++ b/pkg/tarragonwell/rules/rules_test.go
@@ -74,3 +74,53 @@
 		t.Errorf("no previous file: got %d changes, want %d", got, want)
 	}
 }
+
+// TestExplainHostAndSplit checks that the rules of a route with a host, and of one that
+// divides its traffic, are explained.
+func TestExplainHostAndSplit(t *testing.T) {
+	service := func(name string) *tarragonwell.Service {
+		return &tarragonwell.Service{
+			Name: name,
+			Line: tarragonwell.RuleLine{
+				Key: name,
+			},
+		}
+	}
+	kind := &tarragonwell.Kind{
+		Line: tarragonwell.RuleLine{
+			Key: "kind",
+		},
+	}
+	set := &tarragonwell.RuleSet{
+		Routes: []*tarragonwell.Route{
+			{
+				Host:       "a.example",
+				PathPrefix: "/x/",
+				Kind:       kind,
+				Line: tarragonwell.RuleLine{
+					Key: "route",
+				},
+				Split: []tarragonwell.WeightedService{
+					{
+						Service: service("s1"),
+						Weight:  1,
+					},
+					{
+						Service: service("s2"),
+						Weight:  2,
+					},
+				},
+			},
+		},
+	}
+	var got []string
+	for _, l := range Explain(set, "A.example:80", "GET", "/x/1") {
+		got = append(got, l.Key)
+	}
+	if want := "[route kind s1 s2]"; fmt.Sprint(got) != want {
+		t.Errorf("got %v, want %s", got, want)
+	}
+	if got := Explain(set, "b.example", "GET", "/x/1"); got != nil {
+		t.Errorf("another host: got %v, want nil", got)
+	}
+}
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -75,8 +75,6 @@
 // ejected reports whether a target is ejected for its failures. After the ejection
 // time it receives one trial call at a time, also while calls from before the ejection
 // are still in flight: a success ends the ejection, a failure starts another one.
-// EjectedUntil is not cleared by a success, so that alone it does not show that a
-// target is ejected.
 func ejected(now time.Time, t *tarragonwell.TargetState) bool {
 	if t.ConsecutiveFailures < ejectionThreshold {
 		return false
--- a/pkg/tarragonwell/scheduling/queue_timeout.go
+++ b/pkg/tarragonwell/scheduling/queue_timeout.go
@@ -14,9 +14,8 @@
 	// lateUtilizationFactor reduces the maximum utilization for calls that can no
 	// longer meet their latency objective.
 	lateUtilizationFactor = 0.65
-	// hedgeMaxUtilization is the maximum ratio of calls to slots for hedges to targets
-	// of services with MaxUtilization: at peak load, hedges would make first attempts
-	// late.
+	// hedgeMaxUtilization is the maximum ratio of calls to slots for hedges: at peak
+	// load, hedges would make first attempts late.
 	hedgeMaxUtilization = 0.67
 	// retryAfterShare is the retry delay as a share of the caller's remaining time:
 	// long enough for a load peak to pass, short enough to retry more than once.
@@ -49,14 +48,17 @@
 }
 
 // maxUtilization returns the ratio of calls to slots up to which a target may
-// receive the call; 0, for all calls of services without MaxUtilization, selects the
-// policy's default. Late calls leave room for those that can still meet their
+// receive the call; 0, for services without MaxUtilization, selects the policy's
+// default. Late calls leave room for those that can still meet their
 // latency objective: if late calls were served first, the others would become late
 // as well.
 func (s *Scheduler) maxUtilization(p *admission.PendingCall) float64 {
 	utilization := s.options.ServiceRule.MaxUtilization
 	switch {
 	case p.SpareCapacityOnly:
+		if utilization == 0 {
+			return hedgeMaxUtilization
+		}
 		return min(utilization, hedgeMaxUtilization)
 	case p.Late:
 		return utilization * lateUtilizationFactor
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -154,6 +154,7 @@
 		t.RampStart = now
 	}
 	t.BackoffTrial = now.Before(t.BackoffUntil)
+	t.EjectedUntil = time.Time{}
 	t.ConsecutiveFailures = 0
 	t.Ejections = 0
 	if r.Kind.Long {
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -95,8 +95,8 @@
 	// under load. The request is rejected instead of queued if no target has room or
 	// calls of its class, that is, of its kind and with the same Late, are already
 	// queued. Unlike other requests, it is not granted a target that appears full if
-	// the instance is below its fair share, and in services with MaxUtilization, its
-	// maximum utilization is at most hedgeMaxUtilization.
+	// the instance is below its fair share, and its maximum utilization is at most
+	// hedgeMaxUtilization.
 	SpareCapacityOnly bool
 }
 
--- a/pkg/tarragonwell/scheduling/suspects.go
+++ b/pkg/tarragonwell/scheduling/suspects.go
@@ -17,10 +17,9 @@
 )
 
 // SuspectsToAnnounce returns the IDs of the targets that the instance itself has found
-// to be unresponsive or has ejected, and marks them as announced. Only EjectedUntil is
-// considered here: unlike in ejected, a target that awaits or serves its trial call
-// does not count, and one that has succeeded since still does until EjectedUntil. It
-// leaves out those that were announced to the peers recently.
+// to be unresponsive or has ejected, and marks them as announced. Unlike in ejected, a
+// target that awaits or serves its trial call does not count. It leaves out those that
+// were announced to the peers recently.
 func (s *Scheduler) SuspectsToAnnounce(now time.Time) []string {
 	var ids []string
 	for _, t := range s.targets {
--- a/test/history/control_test.go
+++ b/test/history/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,6 +112,8 @@
 			p.Script = removeTargetDuringFreeze
 			p.Callers = 150
 			p.LeavingGrace = time.Second
+			p.Fleet.Rules = removalDuringFreezeRules(p.Fleet.Rules)
+			p.ProbeBudget = 0
 		},
 	},
 	{
@@ -154,18 +157,44 @@
 // subnet of its own.
 var fleetCount byte
 
+// removalDuringFreezeRules returns rules under which the instance of
+// removeTargetDuringFreeze certainly sends calls to the removed target unless it checks
+// for pauses. There are no probes, whose responses would say that the target is leaving,
+// and the calls in flight at the freeze do not miss their deadline, which would eject
+// the target.
+func removalDuringFreezeRules(rules string) string {
+	return strings.NewReplacer(
+		"probe-budget: 10", "probe-budget: 0.01",
+		"deadline: 800ms", "deadline: 5s",
+		"deadline: 1s", "deadline: 5s",
+	).Replace(rules)
+}
+
+// unseenTime is how long the instance of removeTargetDuringFreeze can't learn of the
+// removal after it is thawed. It is shorter than the wait for a confirmed list.
+const unseenTime = 400 * time.Millisecond
+
 // removeTargetDuringFreeze removes and drains a target while an instance is
 // frozen. Callers still send to the instance, which serves these requests when
-// it is thawed, with an outdated list of targets.
+// it is thawed, with an outdated list of targets: the platform holds its responses
+// back, and the peers can't reach the instance, until unseenTime after the thaw.
 func removeTargetDuringFreeze(ctx context.Context, j *Injector) {
 	sleep(ctx, 500*time.Millisecond)
 	frozen := j.Fleet.Instances[0]
+	j.setPlatformFault(FaultPlatformHeld, true)
+	j.isolate(frozen, true)
 	frozen.Process().Freeze()
+	// The calls in flight end before the target begins to drain: their responses would
+	// say so.
+	sleep(ctx, 100*time.Millisecond)
 	t := j.Fleet.Targets["booking-tracking"][0]
 	j.Fleet.RemoveTarget(t)
 	j.DrainTarget(t)
 	sleep(ctx, 1500*time.Millisecond)
 	frozen.Process().Thaw()
+	sleep(ctx, unseenTime)
+	j.setPlatformFault(FaultPlatformHeld, false)
+	j.isolate(frozen, false)
 }
 
 func runScenario(t *testing.T, s scenario, program string, environment ...string) *Report {
--- a/test/history/faults.go
+++ b/test/history/faults.go
@@ -32,6 +32,9 @@
 	// FaultPlatformStale makes the platform serve rules that are two revisions old
 	// and a list that no longer changes.
 	FaultPlatformStale FaultKind = "platform-stale"
+	// FaultPlatformHeld makes the platform hold all responses back. Schedules do not draw
+	// it.
+	FaultPlatformHeld FaultKind = "platform-held"
 	// FaultListLag delays changes of the platform's list by one second.
 	FaultListLag FaultKind = "list-lag"
 	// FaultEdit publishes another rules file.
@@ -256,6 +259,8 @@
 			j.platform.RulesLag = 2
 		}
 		j.platform.StaleList = on
+	case FaultPlatformHeld:
+		j.platform.Held = on
 	case FaultListLag:
 		j.platform.ListLagMs = 0
 		if on {
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -53,6 +53,9 @@
 	StaleList bool `json:"stale-list"`
 	// ListLagMs is the delay after which a revision of the list is served.
 	ListLagMs float64 `json:"list-lag-ms"`
+	// Held holds all responses back until it is cleared. They then have the data of that
+	// time.
+	Held bool `json:"held"`
 	// frozenAt is when StaleList was set.
 	frozenAt time.Time
 }
@@ -200,8 +203,16 @@
 	for {
 		p.mu.Lock()
 		v, changed, down := value(), p.changed, p.faults.Down
-		lag := p.faults.ListLagMs
+		lag, held := p.faults.ListLagMs, p.faults.Held
 		p.mu.Unlock()
+		if held {
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			}
+		}
 		if down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
