Draw leaving, backoff, endless responses and odd entries in the soak

Cause: the soak knew none of the new promises.

Change: the stand-in target says that it leaves, asks to be sent nothing, and sends responses without end; the soak draws these and odd entries of the store, and checks what reaches a target that has said so, by what clients and targets saw. A drained target starts again with another born, as on the platform. The callers' listener accepts its backlog before it closes.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/tarragonwell/tarragonwell/internal/operator"
 	"github.com/tarragonwell/tarragonwell/internal/peer"
 	"github.com/tarragonwell/tarragonwell/internal/platform"
+	"github.com/tarragonwell/tarragonwell/internal/sockets"
 	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -201,28 +202,33 @@
 	for _, x := range []struct {
 		listener *net.Listener
 		address  string
+		listen   func(address string) (net.Listener, error)
 	}{
 		{
 			listener: &l.callers,
 			address:  s.CallerListenAddress,
+			listen:   sockets.ListenDraining,
 		},
 		{
 			listener: &l.peers,
 			address:  s.PeerListenAddress,
+			listen:   listenTCP,
 		},
 		{
 			listener: &l.operators,
 			address:  s.OperatorListenAddress,
+			listen:   listenTCP,
 		},
 		{
 			listener: &l.readiness,
 			address:  s.ReadinessListenAddress,
+			listen:   listenTCP,
 		},
 	} {
 		if x.address == "" {
 			continue
 		}
-		opened, err := net.Listen("tcp", x.address)
+		opened, err := x.listen(x.address)
 		if err != nil {
 			l.close()
 			return nil, eris.Wrap(ErrListen, err.Error())
@@ -232,6 +238,10 @@
 	return &l, nil
 }
 
+func listenTCP(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
 func (l *listeners) close() {
 	for _, x := range []net.Listener{l.callers, l.peers, l.operators, l.readiness} {
 		if x != nil {
@@ -339,9 +349,12 @@
 
 // servers are the HTTP servers for callers, peers and operators.
 type servers struct {
-	callers   *http.Server
-	peers     *http.Server
-	operators *http.Server
+	callers *http.Server
+	// callerListener is closed before callers, which would not accept the connections
+	// in its backlog.
+	callerListener net.Listener
+	peers          *http.Server
+	operators      *http.Server
 	// readiness is nil if the operators' address serves the readiness check.
 	readiness *http.Server
 }
@@ -376,6 +389,7 @@
 			RoutingReady:   i.bootstrapped,
 			Leaving:        i.leaving.Load,
 		}).HTTP(),
+		callerListener: l.callers,
 		peers: &http.Server{
 			Handler:           peerServer.Handler(),
 			Protocols:         protocols,
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -43,6 +43,9 @@
 		if i.operations != nil {
 			i.handOver(ctx)
 		}
+		if err := s.callerListener.Close(); err != nil {
+			i.common.Log.Warn("closing the listener failed", "error", err)
+		}
 		_ = s.callers.Shutdown(ctx)
 		i.peers.SetState(tarragonwell.MemberGone)
 		sleep(ctx, lingerTime)
--- a/internal/service/stream.go
+++ b/internal/service/stream.go
@@ -188,9 +188,13 @@
 	call := *b.call
 	call.ID = fmt.Sprintf("%s-r%d", b.call.ID, b.resumes)
 	call.Deadline = d.dispatcher.options.Common.Clock.Now().Add(call.Route.Kind.Timeout)
-	call.Header = http.Header(call.Header).Clone()
-	http.Header(call.Header).Set("Range", fmt.Sprintf("bytes=%d-", b.offset))
-	http.Header(call.Header).Set("If-Range", b.etag)
+	header := http.Header(call.Header).Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Range", fmt.Sprintf("bytes=%d-", b.offset))
+	header.Set("If-Range", b.etag)
+	call.Header = header
 	ctx, cancel := context.WithDeadline(b.ctx, call.Deadline)
 	defer cancel()
 	l, _ := d.dispatcher.acquire(ctx, scheduling.AcquireRequest{
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -85,6 +85,8 @@
 	}
 	violations = append(violations, checkDrainedTargets(in, requests, journal)...)
 	violations = append(violations, checkCancellation(requests, journal)...)
+	violations = append(violations, checkLeavers(in, requests, e.journal.Arrivals())...)
+	violations = append(violations, checkBackoff(e, requests, e.journal.Arrivals())...)
 	for _, name := range in.stopFailures {
 		violations = append(violations, "graceful stop: "+name+" did not exit in time")
 	}
--- a/test/soak/clients.go
+++ b/test/soak/clients.go
@@ -36,6 +36,8 @@
 	status int
 	// intact reports whether the body is complete and its seal is valid.
 	intact bool
+	// leaver is the target that said in its response that it leaves, or "".
+	leaver string
 	// abandoned reports whether the client disconnects after abandonAfter.
 	abandoned bool
 }
@@ -123,6 +125,9 @@
 	}
 	defer response.Body.Close()
 	r.status = response.StatusCode
+	if response.Header.Get("Server-Leaving") != "" {
+		r.leaver = response.Header.Get("Backend-Id")
+	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		r.status = 0
--- a/test/soak/environment.go
+++ b/test/soak/environment.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,27 @@
 	// faultTimes are the times at which faults began or ended, including cuts from the
 	// store.
 	faultTimes []time.Time
+	// processFaults are the times at which the process was killed, started, frozen or
+	// thawed.
+	processFaults []time.Time
+}
+
+// recordProcessFault records that a fault of the process itself begins or ends.
+func (i *instance) recordProcessFault() {
+	i.recordFault()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.processFaults = append(i.processFaults, i.lastFault)
+}
+
+// ranThrough reports whether the process ran from one time to another, without a restart
+// or a freeze.
+func (i *instance) ranThrough(from, to time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !slices.ContainsFunc(i.processFaults, func(t time.Time) bool {
+		return t.After(from.Add(-gracePeriod)) && t.Before(to)
+	})
 }
 
 func (i *instance) currentProcess() *fleet.Process {
@@ -92,8 +114,31 @@
 	service string
 	proxy   *proxy
 	zone    string
-	// drainingSince is when the target began to drain; zero while it is ready.
-	drainingSince time.Time
+	// leavingSince is when the target began to leave; zero while it stays.
+	leavingSince time.Time
+	// starts counts the starts of the target under its ID.
+	starts int
+
+	mu sync.Mutex
+	// cutTimes are the times at which faults of the path to the target began or ended.
+	cutTimes []time.Time
+}
+
+// recordCut records that a fault of the path to the target begins or ends.
+func (b *backend) recordCut() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cutTimes = append(b.cutTimes, time.Now())
+}
+
+// undisturbed reports whether the path to the target had no fault during gracePeriod
+// before at.
+func (b *backend) undisturbed(at time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !slices.ContainsFunc(b.cutTimes, func(t time.Time) bool {
+		return !t.After(at) && at.Sub(t) < gracePeriod
+	})
 }
 
 // environment is the store, the targets and the fleet of one seed.
@@ -195,6 +240,7 @@
 			"sequence": 1,
 			"coldLeft": "0ms",
 		},
+		"born": 1_000_000 + b.starts,
 	})
 }
 
--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/tarragonwell/tarragonwell/test/standin/hostile"
 	"github.com/tarragonwell/tarragonwell/test/standin/prepared"
 )
 
@@ -38,6 +40,9 @@
 	stopFailures []string
 	// drainPeriods are the completed drain periods of targets.
 	drainPeriods []drainPeriod
+	// silentLeavings are the completed times during which targets said that they leave in
+	// their responses only.
+	silentLeavings []drainPeriod
 }
 
 // drainPeriod is the time during which a target was draining.
@@ -71,6 +76,7 @@
 	faults := []func(*instance, *backend, time.Duration, int){
 		in.kill, in.stop, in.freeze, in.failStore, in.partitionStore, in.compactStore, in.disruptStorePath,
 		in.disruptPeerPath, in.disruptTargetPath, in.dropTargetResponses, in.drainTarget, in.switchReads, in.switchReads,
+		in.leaveInResponses, in.askForBackoff, in.respondWithoutEnd, in.writeOddEntry,
 	}
 	for ctx.Err() == nil {
 		inject := faults[in.random.IntN(len(faults))]
@@ -87,7 +93,7 @@
 // kill kills an instance and restarts it after length.
 func (in *injector) kill(i *instance, _ *backend, length time.Duration, _ int) {
 	in.record("kill %s", i.name)
-	i.recordFault()
+	i.recordProcessFault()
 	i.currentProcess().Kill()
 	time.Sleep(length)
 	in.relaunch(i)
@@ -95,7 +101,7 @@
 
 // relaunch restarts the instance if its process has exited.
 func (in *injector) relaunch(i *instance) {
-	i.recordFault()
+	i.recordProcessFault()
 	select {
 	case <-i.currentProcess().Exited():
 		if err := in.environment.launch(i); err != nil {
@@ -125,12 +131,12 @@
 // freeze suspends the process of an instance.
 func (in *injector) freeze(i *instance, _ *backend, length time.Duration, _ int) {
 	in.record("freeze %s for %v", i.name, length)
-	i.recordFault()
+	i.recordProcessFault()
 	p := i.currentProcess()
 	p.Freeze()
 	time.Sleep(length)
 	p.Thaw()
-	i.recordFault()
+	i.recordProcessFault()
 }
 
 // failStore makes the store fail in one of three ways.
@@ -180,7 +186,9 @@
 }
 
 func (in *injector) disruptTargetPath(_ *instance, b *backend, length time.Duration, variant int) {
+	b.recordCut()
 	in.disruptPath("path to "+b.target.ID, b.proxy, length, variant)
+	b.recordCut()
 }
 
 // disruptPath delays a path, blocks it in both directions or in that of responses, or
@@ -200,36 +208,119 @@
 // dropTargetResponses makes a target slower and lets it lose a share of its responses.
 func (in *injector) dropTargetResponses(_ *instance, b *backend, length time.Duration, _ int) {
 	in.record("%s loses answers for %v", b.target.ID, length)
-	b.target.SetFaults(0.3, 3)
+	b.target.UpdateFaults(func(f *prepared.Faults) {
+		f.DropRate = 0.3
+		f.Slowdown = 3
+	})
 	time.Sleep(length)
-	b.target.SetFaults(0, 1)
+	b.target.UpdateFaults(func(f *prepared.Faults) {
+		f.DropRate = 0
+		f.Slowdown = 1
+	})
 }
 
-// drainTarget drains a target and returns it to service. It does nothing if the target
-// is draining already.
-func (in *injector) drainTarget(_ *instance, b *backend, length time.Duration, _ int) {
+// beginLeaving reports whether the target was not leaving before.
+func (in *injector) beginLeaving(b *backend) bool {
 	in.mu.Lock()
-	draining := !b.drainingSince.IsZero()
-	if !draining {
-		b.drainingSince = time.Now()
+	defer in.mu.Unlock()
+	if !b.leavingSince.IsZero() {
+		return false
 	}
+	b.leavingSince = time.Now()
+	return true
+}
+
+// restart ends a target's leaving: it starts again under its ID.
+func (in *injector) restart(b *backend) {
+	b.target.UpdateFaults(func(f *prepared.Faults) { f.Leaving = false })
+	in.mu.Lock()
+	b.leavingSince = time.Time{}
+	b.starts++
 	in.mu.Unlock()
-	if draining {
+	in.environment.publishTarget(b, "ready")
+}
+
+// drainTarget drains a target, which also says so in its responses, and starts it again.
+// It does nothing if the target is leaving already.
+func (in *injector) drainTarget(_ *instance, b *backend, length time.Duration, _ int) {
+	if !in.beginLeaving(b) {
 		return
 	}
 	in.record("%s leaves", b.target.ID)
 	in.environment.publishTarget(b, "draining")
 	confirmed := time.Now()
+	b.target.UpdateFaults(func(f *prepared.Faults) { f.Leaving = true })
 	time.Sleep(drainLimit + length)
 	in.mu.Lock()
-	b.drainingSince = time.Time{}
 	in.drainPeriods = append(in.drainPeriods, drainPeriod{
 		target: b.target.ID,
 		from:   confirmed,
 		to:     time.Now(),
 	})
 	in.mu.Unlock()
-	in.environment.publishTarget(b, "ready")
+	in.restart(b)
+}
+
+// leaveInResponses lets a target say in its responses that it leaves, while its entry
+// still says that it is ready, and starts it again.
+func (in *injector) leaveInResponses(_ *instance, b *backend, length time.Duration, _ int) {
+	if !in.beginLeaving(b) {
+		return
+	}
+	in.record("%s leaves by its responses only", b.target.ID)
+	from := time.Now()
+	b.target.UpdateFaults(func(f *prepared.Faults) { f.Leaving = true })
+	time.Sleep(2*drainLimit + length)
+	in.mu.Lock()
+	in.silentLeavings = append(in.silentLeavings, drainPeriod{
+		target: b.target.ID,
+		from:   from,
+		to:     time.Now(),
+	})
+	in.mu.Unlock()
+	in.restart(b)
+}
+
+// askForBackoff lets a target refuse all requests and ask to be sent nothing.
+func (in *injector) askForBackoff(_ *instance, b *backend, length time.Duration, variant int) {
+	asked := time.Second + time.Duration(variant)*100*time.Millisecond
+	in.record("%s asks for %v without requests, for %v", b.target.ID, asked, length)
+	b.target.UpdateFaults(func(f *prepared.Faults) { f.RetryAfter = asked })
+	time.Sleep(length)
+	b.target.UpdateFaults(func(f *prepared.Faults) { f.RetryAfter = 0 })
+}
+
+// respondWithoutEnd lets a target send responses that never end, or bytes that are none.
+func (in *injector) respondWithoutEnd(_ *instance, b *backend, length time.Duration, variant int) {
+	mode := hostile.Mode(variant) % hostile.Modes
+	if mode == hostile.LongerThanLength {
+		// It ends the body that the target has sealed too early, which no instance can see.
+		mode = hostile.EndlessGarbage
+	}
+	in.record("%s: %v for %v", b.target.ID, mode, length)
+	b.target.UpdateFaults(func(f *prepared.Faults) {
+		f.Hostile = mode
+		f.HostileRate = 0.3
+	})
+	time.Sleep(length)
+	b.target.UpdateFaults(func(f *prepared.Faults) { f.HostileRate = 0 })
+}
+
+// oddEntries are values that another writer leaves among the entries of the targets.
+var oddEntries = []string{
+	"null", "{", "\x00\xff", "[[[[]]]]", `{"address":"10.0.0.1:0"}`, `{"info":{"capacity":1e400}}`,
+	strings.Repeat("[", 20_000),
+	`{"address":"10.0.0.1:70000","info":{"service":"desk","zone":"z","capacity":6},"status":{"state":"ready","sequence":1,"coldLeft":"0s"}}`,
+	`{"address":"10.0.0.1:7","info":{"service":"desk","zone":"z","capacity":99999999999},"status":{"state":"ready","sequence":1,"coldLeft":"0s"}}`,
+}
+
+// writeOddEntry leaves an odd entry among those of the targets.
+func (in *injector) writeOddEntry(_ *instance, _ *backend, length time.Duration, variant int) {
+	key := fmt.Sprintf("servers/odd-%d", variant)
+	in.record("odd entry %s for %v", key, length)
+	in.environment.store.Put(key, []byte(oddEntries[variant%len(oddEntries)]))
+	time.Sleep(length)
+	in.environment.store.Delete(key)
 }
 
 // switchReads publishes a configuration that routes reads to the other service.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,7 +55,7 @@
 	}
 	defer e.close()
 	for _, b := range e.backends {
-		b.target.SetFaults(0.5, 1)
+		b.target.UpdateFaults(func(f *prepared.Faults) { f.DropRate = 0.5 })
 	}
 	c := &clients{
 		environment: e,
@@ -120,3 +120,71 @@
 		t.Errorf("requests from an instance with a recent fault: got %v, want no violations", got)
 	}
 }
+
+// TestChecksDetectLeaversAndBackoff checks that requests which reach a target that said
+// that it leaves, or asked to be sent nothing, are reported, and that a restart of the
+// instance excuses them.
+func TestChecksDetectLeaversAndBackoff(t *testing.T) {
+	begin := time.Now()
+	i := &instance{
+		name: "i",
+	}
+	told := request{
+		id:       "told",
+		instance: i,
+		leaver:   "i-1",
+		sent:     begin.Add(time.Millisecond),
+		ended:    begin.Add(2 * time.Millisecond),
+	}
+	late := request{
+		id:       "late",
+		instance: i,
+		sent:     begin.Add(drainLimit + time.Second),
+	}
+	in := &injector{
+		silentLeavings: []drainPeriod{
+			{
+				target: "i-1",
+				from:   begin,
+				to:     begin.Add(3 * drainLimit),
+			},
+		},
+	}
+	arrivals := []prepared.Arrival{
+		{
+			AttemptID: "late",
+			Target:    "i-1",
+			At:        late.sent.Add(time.Millisecond),
+		},
+	}
+	requests := []request{told, late}
+	if got, want := len(checkLeavers(in, requests, arrivals)), 1; got != want {
+		t.Errorf("leaver: got %d violations, want %d", got, want)
+	}
+	asked := []prepared.Arrival{
+		{
+			AttemptID:  "told",
+			Target:     "i-1",
+			At:         begin,
+			RetryAfter: 2 * time.Second,
+		},
+	}
+	for n := range maxBackoffArrivals + 1 {
+		asked = append(asked, prepared.Arrival{
+			AttemptID: "late",
+			Target:    "i-1",
+			At:        begin.Add(time.Second + time.Duration(n)*time.Millisecond),
+		})
+	}
+	e := &environment{}
+	if got, want := len(checkBackoff(e, requests, asked)), 1; got != want {
+		t.Errorf("backoff: got %d violations, want %d", got, want)
+	}
+	if got, want := len(checkBackoff(e, requests, asked[:maxBackoffArrivals+1])), 0; got != want {
+		t.Errorf("backoff, few requests: got %d violations, want %d", got, want)
+	}
+	i.processFaults = []time.Time{begin.Add(500 * time.Millisecond)}
+	if got, want := len(checkLeavers(in, requests, arrivals))+len(checkBackoff(e, requests, asked)), 0; got != want {
+		t.Errorf("after a restart: got %d violations, want %d", got, want)
+	}
+}
--- a/test/standin/prepared/target.go
+++ b/test/standin/prepared/target.go
@@ -10,9 +10,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/tarragonwell/tarragonwell/test/standin/hostile"
 )
 
 const (
@@ -35,10 +38,37 @@
 	EndedAt time.Time
 }
 
-// RunLog records the runs of many targets.
+// Arrival is one request, other than a probe, that reached a target.
+type Arrival struct {
+	// AttemptID is the value of the request's Attempt-Id header.
+	AttemptID string
+	// Target is the target's ID.
+	Target string
+	At     time.Time
+	// RetryAfter is the time for which the target asked to be sent nothing, when it
+	// refused the request; 0 if it did not ask.
+	RetryAfter time.Duration
+}
+
+// RunLog records the runs and the arrivals of many targets.
 type RunLog struct {
-	mu   sync.Mutex
-	runs []Run
+	mu       sync.Mutex
+	runs     []Run
+	arrivals []Arrival
+}
+
+// arrive adds an arrival.
+func (l *RunLog) arrive(a Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, a)
+}
+
+// Arrivals returns a copy of the arrivals so far.
+func (l *RunLog) Arrivals() []Arrival {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Arrival(nil), l.arrivals...)
 }
 
 // begin adds a run and returns its index.
@@ -78,11 +108,24 @@
 	running int
 	waiting int
 	slots   chan struct{}
-	// dropRate is the share of requests that are run and get no response.
-	dropRate float64
-	// slowdown is a factor on the time of short requests; at least 1.
-	slowdown float64
-	server   *http.Server
+	faults  Faults
+	server  *http.Server
+}
+
+// Faults are the injected faults of a target. The zero value is a sound target.
+type Faults struct {
+	// DropRate is the share of requests that are run and get no response: their
+	// connection is closed.
+	DropRate float64
+	// Slowdown is a factor on the time of short requests; values below 1 count as 1.
+	Slowdown float64
+	// Leaving says in all responses that the target leaves.
+	Leaving bool
+	// RetryAfter refuses all requests and asks to be sent nothing for that time.
+	RetryAfter time.Duration
+	// Hostile is the way in which HostileRate of the requests are responded to.
+	Hostile     hostile.Mode
+	HostileRate float64
 }
 
 // NewTarget returns a target that is not yet listening.
@@ -93,7 +136,6 @@
 		runLog:   l,
 		workTime: workTime,
 		slots:    make(chan struct{}, targetSlots),
-		slowdown: 1,
 	}
 }
 
@@ -113,13 +155,11 @@
 	return nil
 }
 
-// SetFaults sets the share of requests whose connection is closed after the run
-// without a response, and the factor on the time of short requests.
-func (t *Target) SetFaults(dropRate, slowdown float64) {
+// UpdateFaults changes the injected faults.
+func (t *Target) UpdateFaults(change func(*Faults)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.dropRate = dropRate
-	t.slowdown = max(1, slowdown)
+	change(&t.faults)
 }
 
 // Body returns the response body to an attempt, which is the same from every
@@ -137,20 +177,36 @@
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
-	load := fmt.Sprintf("%d,%d,%d,%d", t.running, t.waiting, targetSlots, int(100*t.slowdown))
+	faults := t.faults
+	slowdown := max(1, faults.Slowdown)
+	load := fmt.Sprintf("%d,%d,%d,%d", t.running, t.waiting, targetSlots, int(100*slowdown))
 	full := t.running >= targetSlots && t.waiting >= targetQueue
-	drop := rand.Float64() < t.dropRate
-	workTime := time.Duration(float64(t.workTime) * t.slowdown * (0.7 + 0.6*rand.Float64()))
 	t.mu.Unlock()
+	drop := rand.Float64() < faults.DropRate
+	workTime := time.Duration(float64(t.workTime) * slowdown * (0.7 + 0.6*rand.Float64()))
 	w.Header().Set("Backend-Load", load)
 	w.Header().Set("Backend-Id", t.ID)
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == healthPath {
 		return
 	}
 	attemptID := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", attemptID)
 	_, _ = io.Copy(io.Discard, r.Body)
+	t.runLog.arrive(Arrival{
+		AttemptID:  attemptID,
+		Target:     t.ID,
+		At:         time.Now(),
+		RetryAfter: faults.RetryAfter,
+	})
 	switch {
+	case faults.RetryAfter > 0:
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(faults.RetryAfter.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case r.Header.Get("Expect-Backend") != t.ID:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -182,10 +238,29 @@
 	}
 	body := Body(attemptID, r.URL.Path)
 	w.Header().Set("Response-Seal", Seal(body))
+	if rand.Float64() < faults.HostileRate {
+		respondWithoutEnd(w, faults.Hostile)
+		return
+	}
 	// The write fails if the client has disconnected; there is nothing to do then.
 	_, _ = w.Write(body)
 }
 
+// respondWithoutEnd takes over the connection and sends a response that never ends, or
+// bytes that are none, until the client closes it.
+func respondWithoutEnd(w http.ResponseWriter, m hostile.Mode) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.Close()
+	var header strings.Builder
+	// Writing to a strings.Builder does not fail.
+	_ = w.Header().Write(&header)
+	// The error is that of the client's close.
+	_ = hostile.Respond(c, m, header.String())
+}
+
 // acquireSlot waits for a slot. It reports false if ctx ends first.
 func (t *Target) acquireSlot(ctx context.Context) bool {
 	t.adjustCounts(0, 1)
