--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -95,13 +95,14 @@
 	return out
 }
 
-// targetState returns the state to display. A target is ejected until EjectedUntil,
-// even if calls succeed in the meantime; after that it is serving, even if its trial
-// call is still in flight.
+// targetState returns the state to display. A target whose ejection or backoff is over is
+// serving, even if its trial call is still in flight.
 func targetState(t *tarragonwell.TargetState, now time.Time) string {
 	switch {
 	case t.Leaving(now):
 		return "leaving"
+	case now.Before(t.BackoffUntil):
+		return "backoff"
 	case now.Before(t.EjectedUntil):
 		return "ejected"
 	default:
