Let a grant expire with the pause that it was made before

Change: a grant expires a second after the decision, by the clock that counts suspensions before the call is sent, and by the monotonic clock at its first write. The call is then not sent and asks for another target.

Tests: TestGrantExpires, TestFirstWriteHasItsOwnDeadline.

--- a/internal/service/lease.go
+++ b/internal/service/lease.go
@@ -2,17 +2,31 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
+// maxGrantAge is how long after the grant a call may be sent. An older grant was followed
+// by a pause of the process, or by a long wait for a connection; the target may have left
+// since.
+const maxGrantAge = pauseThreshold
+
+// errGrantExpired means that a call was not sent within maxGrantAge.
+var errGrantExpired = eris.New("the grant expired before the call was sent")
+
 // lease is the permit for one attempt at a target. It does not expire and must be
 // released.
 type lease struct {
 	dispatcher *Dispatcher
 	grant      *scheduling.Grant
 	target     *target.Client
+	grantedAt  time.Time
+	// expiresAt is the Clock.Uptime until which the call may be sent.
+	expiresAt time.Duration
 	// released is set once the lease has been released.
 	released bool
 }
@@ -72,6 +86,8 @@
 		dispatcher: dr,
 		grant:      d.Grant,
 		target:     d.target,
+		grantedAt:  d.grantedAt,
+		expiresAt:  d.grantedUptime + maxGrantAge,
 	}, nil
 }
 
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -20,6 +20,9 @@
 type acquireReply struct {
 	scheduling.Decision
 	target *target.Client
+	// grantedAt and grantedUptime are the time of the decision and its Clock.Uptime.
+	grantedAt     time.Time
+	grantedUptime time.Duration
 }
 
 // placementProbeMessage requests the list of targets that are to be probed before a
--- a/internal/service/notice_test.go
+++ b/internal/service/notice_test.go
@@ -286,3 +286,35 @@
 		t.Errorf("after the time: got %v (%s), want %v", got, last.Reason, want)
 	}
 }
+
+// TestGrantExpires checks that a call which was granted a target before a pause of the
+// process, and was not sent yet, is not sent there.
+func TestGrantExpires(t *testing.T) {
+	clock := &adjustableClock{}
+	s := startScriptedTarget(t, respond)
+	f := startServiceWith(t, func(o *Options) { o.Common.Clock = clock }, s.address)
+	l, rejection := f.acquire(f.ctx, scheduling.AcquireRequest{
+		Kind: &tarragonwell.Kind{
+			Name: "k",
+		},
+		Deadline: time.Now().Add(time.Hour),
+	})
+	if l == nil {
+		t.Fatalf("got rejection %+v, want a grant", rejection)
+	}
+	clock.offset.Store(int64(2 * pauseThreshold))
+	_, err := sendCall(f.ctx, l, &tarragonwell.Call{
+		Method:     http.MethodGet,
+		RequestURI: "/x",
+		Deadline:   time.Now().Add(time.Hour),
+		Route: &tarragonwell.Route{
+			Kind: &tarragonwell.Kind{},
+		},
+	})
+	if err == nil || err.Stage != tarragonwell.StageNotSent {
+		t.Errorf("got %v, want an error with StageNotSent", err)
+	}
+	if got, want := s.callCount(), 0; got != want {
+		t.Errorf("calls: got %d, want %d", got, want)
+	}
+}
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -311,7 +311,9 @@
 // withTarget adds the target to a decision that has a grant.
 func (st *state) withTarget(d scheduling.Decision) acquireReply {
 	out := acquireReply{
-		Decision: d,
+		Decision:      d,
+		grantedAt:     st.lastRun,
+		grantedUptime: st.lastUptime,
 	}
 	if d.Grant != nil {
 		out.target = st.handles[d.Grant.TargetID].target
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// errDeadlinePassed means that a write was rejected because the call's deadline has
-// passed, for example because the process was paused.
+// errDeadlinePassed means that a write was rejected because the call's deadline, or that
+// for its first write, has passed, for example because the process was paused.
 var errDeadlinePassed = eris.New("the deadline passed before the call was written")
 
 // trackedConn is a connection that counts writes, which shows whether a byte of a call
@@ -21,6 +21,9 @@
 	// callDeadline is the deadline of the current call on the monotonic clock, in
 	// nanoseconds since processStart; 0 if there is none.
 	callDeadline atomic.Int64
+	// firstWriteBy bounds the first write of the current call in the same way; 0 after
+	// that write, or if there is no bound.
+	firstWriteBy atomic.Int64
 	// limit counts the connection until it is closed; nil for no limit.
 	limit *connLimit
 	// closed is set once the connection has been closed.
@@ -30,10 +33,14 @@
 // processStart is the reference time for monotonic times in this process.
 var processStart = time.Now()
 
-// setCallDeadline sets the deadline for the writes of the next call and returns the
-// number of writes so far.
-func (c *trackedConn) setCallDeadline(deadline time.Time) uint64 {
+// setCallDeadline sets the deadline for the writes of the next call, and for the first of
+// them unless firstWriteBy is zero. It returns the number of writes so far.
+func (c *trackedConn) setCallDeadline(deadline, firstWriteBy time.Time) uint64 {
 	c.callDeadline.Store(int64(deadline.Sub(processStart)))
+	c.firstWriteBy.Store(0)
+	if !firstWriteBy.IsZero() {
+		c.firstWriteBy.Store(int64(firstWriteBy.Sub(processStart)))
+	}
 	return c.writes.Load()
 }
 
@@ -50,6 +57,9 @@
 // pause of the process between the two is covered by the deadline check of the target.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	deadline := c.callDeadline.Load()
+	if by := c.firstWriteBy.Swap(0); by != 0 && by < deadline {
+		deadline = by
+	}
 	if deadline != 0 && int64(time.Since(processStart)) > deadline {
 		return 0, errDeadlinePassed
 	}
--- a/internal/target/send.go
+++ b/internal/target/send.go
@@ -57,7 +57,7 @@
 			w.writtenEarlier = w.written()
 			w.conn, _ = info.Conn.(*trackedConn)
 			if w.conn != nil {
-				w.writesBefore = w.conn.setCallDeadline(c.Deadline)
+				w.writesBefore = w.conn.setCallDeadline(c.Deadline, c.SendBefore)
 			}
 		},
 	})
--- a/internal/target/send_test.go
+++ b/internal/target/send_test.go
@@ -218,7 +218,7 @@
 	c := &trackedConn{
 		Conn: a,
 	}
-	writesBefore := c.setCallDeadline(time.Now().Add(-time.Nanosecond))
+	writesBefore := c.setCallDeadline(time.Now().Add(-time.Nanosecond), time.Time{})
 	_, err := c.Write([]byte("x"))
 	if got, want := errors.Is(err, errDeadlinePassed), true; got != want {
 		t.Errorf("got %v", err)
@@ -296,3 +296,28 @@
 		t.Errorf("503 without headers: got %v, %v, want a response", response, err)
 	}
 }
+
+// TestFirstWriteHasItsOwnDeadline checks that a call is not begun after its grant has
+// expired, and that one which was begun in time is written to its end.
+func TestFirstWriteHasItsOwnDeadline(t *testing.T) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	go func() { _, _ = io.Copy(io.Discard, b) }()
+	c := &trackedConn{
+		Conn: a,
+	}
+	later := time.Now().Add(time.Hour)
+	c.setCallDeadline(later, time.Now().Add(-time.Nanosecond))
+	if _, err := c.Write([]byte("x")); !errors.Is(err, errDeadlinePassed) {
+		t.Errorf("begun late: got %v, want errDeadlinePassed", err)
+	}
+	c.setCallDeadline(later, time.Now().Add(20*time.Millisecond))
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Errorf("begun in time: got %v, want no error", err)
+	}
+	time.Sleep(40 * time.Millisecond)
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Errorf("continued: got %v, want no error", err)
+	}
+}
--- a/pkg/tarragonwell/call.go
+++ b/pkg/tarragonwell/call.go
@@ -24,6 +24,9 @@
 	// Deadline bounds the whole call or, if its kind is long, the wait for the first
 	// byte of the response.
 	Deadline time.Time
+	// SendBefore bounds when the first byte is sent to a target, for the copy of the call
+	// that is sent: after it, the choice of the target is outdated. Zero for no bound.
+	SendBefore time.Time
 	// CallerTimeLeft is how long the caller will still wait for the response, as
 	// stated in the request; 0 if it was not stated.
 	CallerTimeLeft time.Duration
