Let the control of leaving-word cover probes too

The check of the safeguard had moved from the service to the dialects, and the default dialect's probes were left out.

--- a/internal/target/dialect.go
+++ b/internal/target/dialect.go
@@ -93,7 +93,7 @@
 			Slots:   max(0, r.Slots),
 		},
 		TargetNotice: tarragonwell.TargetNotice{
-			Leaving: r.State == stateDraining,
+			Leaving: r.State == stateDraining && control.Enabled(control.LeavingReport),
 		},
 	}, nil
 }
