--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -84,26 +84,6 @@
 	countSkipped func()
 }
 
-// Snapshot is the part of the view that other tasks can read. It is immutable.
-type Snapshot struct {
-	// Alive lists the live peers, ordered by address.
-	Alive []tarragonwell.Member
-	// knownAddresses contains the addresses of the recorded peers and the
-	// BootstrapAddresses of the view.
-	knownAddresses  map[string]bool
-	holderAddresses map[tarragonwell.Incarnation]string
-	// Leaving holds the announcements of draining targets.
-	Leaving []tarragonwell.LeavingTarget
-	// LeavingVersion changes when Leaving has a new announcement.
-	LeavingVersion uint64
-	// PlatformConfirmedAt is when the platform last confirmed, to any instance, that
-	// the data which this instance has processed is current; zero if it never did.
-	PlatformConfirmedAt time.Time
-	// IsReader is set if the instance watches the platform on behalf of the fleet.
-	IsReader bool
-	State    tarragonwell.MemberState
-}
-
 // state is the state of the task, which no other goroutine accesses.
 type state struct {
 	view   membership.View
@@ -407,37 +387,3 @@
 	})
 	return response
 }
-
-// leavingForSnapshot returns the announcements of draining targets. It returns the list
-// of the current snapshot if there is nothing new: the list is long in a rolling release.
-func (p *Peers) leavingForSnapshot(st *state) []tarragonwell.LeavingTarget {
-	if s := p.snapshot.Load(); s.LeavingVersion == st.view.LeavingVersion() {
-		return s.Leaving
-	}
-	return st.view.Leaving()
-}
-
-// publishSnapshot replaces the snapshot that other tasks read.
-func (p *Peers) publishSnapshot(st *state) {
-	now := p.options.Common.Clock.Now()
-	s := &Snapshot{
-		Alive:               st.view.Alive(now),
-		knownAddresses:      map[string]bool{},
-		holderAddresses:     map[tarragonwell.Incarnation]string{},
-		Leaving:             p.leavingForSnapshot(st),
-		LeavingVersion:      st.view.LeavingVersion(),
-		PlatformConfirmedAt: st.freshness.latest.at,
-		IsReader:            st.view.IsReader(now, p.options.Common.Settings.Readers),
-		State:               st.view.Self.State,
-	}
-	for _, m := range st.view.All() {
-		s.knownAddresses[m.PeerAddress] = true
-	}
-	for _, a := range st.view.BootstrapAddresses {
-		s.knownAddresses[a] = true
-	}
-	for _, h := range st.view.Holders() {
-		s.holderAddresses[h.Incarnation] = h.PeerAddress
-	}
-	p.snapshot.Store(s)
-}
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -57,15 +57,15 @@
 // sendCall sends the call to the lease's target. An error that is not an AttemptError
 // is wrapped in one, as if the call had been sent.
 func sendCall(ctx context.Context, l *lease, c *tarragonwell.Call) (*tarragonwell.Response, *tarragonwell.AttemptError) {
-	if l.dispatcher.options.Common.Clock.Uptime() > l.expiresAt && control.Enabled(control.PauseCheck) {
-		return nil, &tarragonwell.AttemptError{
-			Stage:  tarragonwell.StageNotSent,
-			Reason: errGrantExpired.Error(),
-			Err:    errGrantExpired,
-		}
-	}
 	if control.Enabled(control.PauseCheck) {
 		c.SendBefore = l.grantedAt.Add(maxGrantAge)
+		if l.expired() {
+			return nil, &tarragonwell.AttemptError{
+				Stage:  tarragonwell.StageNotSent,
+				Reason: errGrantExpired.Error(),
+				Err:    errGrantExpired,
+			}
+		}
 	}
 	response, err := l.target.Send(ctx, c)
 	if err == nil {
--- a/internal/service/lease.go
+++ b/internal/service/lease.go
@@ -105,6 +105,12 @@
 	}
 }
 
+// expired reports whether the call may no longer be sent, by the clock that also counts
+// suspensions of the machine.
+func (l *lease) expired() bool {
+	return l.dispatcher.options.Common.Clock.Uptime() > l.expiresAt
+}
+
 // release returns the lease. Further calls have no effect.
 func (l *lease) release(r scheduling.Release) {
 	if l.released {
--- a/internal/service/notice.go
+++ b/internal/service/notice.go
@@ -15,7 +15,7 @@
 // handleNotice applies what a target stated about itself in a response.
 func (dr *Dispatcher) handleNotice(now time.Time, st *state, r target.NoticeReport) {
 	if r.Notice.Ignored != "" {
-		dr.options.Common.Log.Warn("target-header-ignored", "service", st.serviceRule.Name, "target", r.ID, "reason", r.Notice.Ignored)
+		dr.options.Common.RoutineLogger().Warn("target-header-ignored", "service", st.serviceRule.Name, "target", r.ID, "reason", r.Notice.Ignored)
 	}
 	if r.Notice.Leaving {
 		dr.recordLeaving(now, st, r)
--- a/internal/service/notice_test.go
+++ b/internal/service/notice_test.go
@@ -1,107 +1,16 @@
 package service
 
 import (
-	"context"
 	"io"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
-// callTimeout is the time limit of the calls that runningFixture sends.
-const callTimeout = 2 * time.Second
-
-// runningFixture is a running service with a few targets.
-type runningFixture struct {
-	*Dispatcher
-	ctx  context.Context
-	rule *tarragonwell.Service
-	// announced holds the announcements of leaving targets.
-	announced chan tarragonwell.LeavingTarget
-}
-
-// startService runs a service with the targets at the addresses until the test ends.
-func startService(t *testing.T, addresses ...string) *runningFixture {
-	t.Helper()
-	return startServiceWith(t, nil, addresses...)
-}
-
-// startServiceWith is startService with options that configure changes, unless it is nil.
-func startServiceWith(t *testing.T, configure func(*Options), addresses ...string) *runningFixture {
-	t.Helper()
-	f := &runningFixture{
-		rule:      newRule("s"),
-		announced: make(chan tarragonwell.LeavingTarget, 100),
-	}
-	var listed []tarragonwell.ListedTarget
-	for _, a := range addresses {
-		listed = append(listed, tarragonwell.ListedTarget{
-			ID:      "i-" + a,
-			Address: a,
-			Born:    1,
-		})
-	}
-	o := Options{
-		Common:        newCommon(t, common.SystemClock{}),
-		ServiceRule:   f.rule,
-		BudgetDivisor: 1,
-		Targets:       listed,
-		AnnounceLeaving: func(l tarragonwell.LeavingTarget) bool {
-			f.announced <- l
-			return true
-		},
-	}
-	if configure != nil {
-		configure(&o)
-	}
-	f.Dispatcher = New(o)
-	ctx, cancel := context.WithCancel(context.Background())
-	f.ctx = ctx
-	var running sync.WaitGroup
-	running.Go(func() { f.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-	})
-	return f
-}
-
-// call sends a repeatable call. The response's body must be closed.
-func (f *runningFixture) call(method string, long bool) tarragonwell.Result {
-	return f.Dispatch(f.ctx, &tarragonwell.Call{
-		ID:         "id",
-		Method:     method,
-		RequestURI: "/x",
-		Route: &tarragonwell.Route{
-			Service: f.rule,
-			Kind: &tarragonwell.Kind{
-				Name:       "k",
-				Repeatable: true,
-				Long:       long,
-				Timeout:    callTimeout,
-				Weight:     1,
-				SlotShare:  1,
-			},
-		},
-		Deadline:    time.Now().Add(callTimeout),
-		RetriesLeft: 1,
-	})
-}
-
-// discard reads a response to its end, or until it fails, and closes it.
-func discard(r tarragonwell.Result) {
-	if r.Response != nil {
-		_, _ = io.Copy(io.Discard, r.Response.Body)
-		_ = r.Response.Body.Close()
-	}
-}
-
 // withState adds the header of a draining target to a handler.
 func withState(handler func(http.ResponseWriter, *http.Request)) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +17,6 @@
 	"github.com/tarragonwell/tarragonwell/internal/task"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
-	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/policy"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
@@ -27,54 +24,6 @@
 	goleak.VerifyTestMain(m)
 }
 
-// adjustableClock is a clock that a test can move forward to simulate a pause of
-// the process.
-type adjustableClock struct {
-	offset atomic.Int64
-}
-
-func (c *adjustableClock) Now() time.Time {
-	return time.Now().Add(time.Duration(c.offset.Load()))
-}
-
-// Uptime moves forward with the clock.
-func (c *adjustableClock) Uptime() time.Duration {
-	return time.Since(testStart) + time.Duration(c.offset.Load())
-}
-
-var testStart = time.Now()
-
-type noAudit struct{}
-
-func (noAudit) Record(tarragonwell.AuditRecord) {}
-
-func newCommon(t *testing.T, clock tarragonwell.Clock) *common.Dependencies {
-	t.Helper()
-	l, err := common.NewLogger(io.Discard, "error", "test")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &common.Dependencies{
-		Settings: &settingsfile.Settings{
-			MaxResponseBufferBytes: 1000,
-		},
-		Log:     l,
-		Metrics: metrics.NewSet(),
-		Audit:   noAudit{},
-		Clock:   clock,
-	}
-}
-
-func newRule(name string) *tarragonwell.Service {
-	return &tarragonwell.Service{
-		Name:        name,
-		Slots:       5,
-		Connections: 50,
-		RetryRatio:  1,
-		Policy:      policy.Default,
-	}
-}
-
 // TestPauseRequiresConfirmation guards against placing calls according to an outdated
 // list of targets after the process was paused.
 func TestPauseRequiresConfirmation(t *testing.T) {
@@ -179,81 +128,6 @@
 	return out
 }
 
-// scriptedTarget is a target with one handler for each call, in order. The last
-// handler is used for all further calls.
-type scriptedTarget struct {
-	address string
-	mu      sync.Mutex
-	script  []func(w http.ResponseWriter, r *http.Request)
-	calls   int
-}
-
-func startScriptedTarget(t *testing.T, script ...func(http.ResponseWriter, *http.Request)) *scriptedTarget {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &scriptedTarget{
-		address: l.Addr().String(),
-		script:  script,
-	}
-	server := &http.Server{
-		Handler: s,
-	}
-	var running sync.WaitGroup
-	running.Go(func() { _ = server.Serve(l) })
-	t.Cleanup(func() {
-		_ = server.Close()
-		running.Wait()
-	})
-	return s
-}
-
-// ServeHTTP implements http.Handler.
-func (s *scriptedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	n := min(s.calls, len(s.script)-1)
-	s.calls++
-	handler := s.script[n]
-	s.mu.Unlock()
-	handler(w, r)
-}
-
-func (s *scriptedTarget) callCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
-func respond(w http.ResponseWriter, _ *http.Request) {
-	_, _ = io.WriteString(w, "whole")
-}
-
-func resetConnection(http.ResponseWriter, *http.Request) {
-	panic(http.ErrAbortHandler)
-}
-
-func truncate(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Length", "100")
-	_, _ = io.WriteString(w, "part")
-	_ = http.NewResponseController(w).Flush()
-	panic(http.ErrAbortHandler)
-}
-
-func refuse(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Target-Not-Run", "shed")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-func fail(w http.ResponseWriter, _ *http.Request) {
-	w.WriteHeader(http.StatusInternalServerError)
-}
-
-func hang(_ http.ResponseWriter, r *http.Request) {
-	<-r.Context().Done()
-}
-
 // TestOutcomes checks the outcome that is reported for each way in which a call can
 // end, and the number of calls that reach the target.
 func TestOutcomes(t *testing.T) {
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -65,9 +65,8 @@
 	// Targets is the platform's initial list.
 	Targets []tarragonwell.ListedTarget
 	// AnnounceLeaving announces to the peers that a target reports that it is leaving:
-	// it completes its calls and accepts no new ones. It must
-	// not block, and returns false if the announcement has to be repeated. Nil for no
-	// announcements.
+	// it completes its calls and accepts no new ones. It must not block, and returns
+	// false if the announcement has to be repeated. Nil for no announcements.
 	AnnounceLeaving func(tarragonwell.LeavingTarget) bool
 	// AnnounceSuspect announces to the peers that a target is unresponsive or ejected.
 	// It must not block. Nil for no announcements.
--- a/internal/target/hostile_test.go
+++ b/internal/target/hostile_test.go
@@ -24,9 +24,12 @@
 	maxHostileBytes = 2 << 20
 )
 
-// startHostile returns the address of a server that responds with a mode until the test
-// ends.
-func startHostile(t *testing.T, m hostile.Mode) string {
+// ownResponse is the field by which a response belongs to the calls of these tests.
+const ownResponse = HeaderAttemptID + ": id\r\n"
+
+// startHostile returns the address of a server that responds with a mode, and a header
+// field, until the test ends.
+func startHostile(t *testing.T, m hostile.Mode, field string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,7 +39,7 @@
 	server := &hostile.Server{
 		Mode: m,
 		Header: func([]byte) string {
-			return HeaderAttemptID + ": id\r\n"
+			return field
 		},
 	}
 	go server.Serve(l)
@@ -56,7 +59,7 @@
 func TestHostileResponses(t *testing.T) {
 	for m := range hostile.Modes {
 		t.Run(m.String(), func(t *testing.T) {
-			cl := newClient(t, startHostile(t, m))
+			cl := newClient(t, startHostile(t, m, ownResponse))
 			before := heapBytes()
 			begin := time.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), hostileDeadline)
@@ -93,21 +96,9 @@
 func TestHostileRefusal(t *testing.T) {
 	for _, m := range []hostile.Mode{hostile.SlowBody, hostile.EndlessBody, hostile.EndlessChunks, hostile.EndlessTrailer, hostile.EndlessChunkExtension} {
 		t.Run(m.String(), func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = l.Close() })
-			server := &hostile.Server{
-				Mode: m,
-				Header: func([]byte) string {
-					return HeaderNotRun + ": shed\r\n"
-				},
-			}
-			go server.Serve(l)
-			cl := newClient(t, l.Addr().String())
+			cl := newClient(t, startHostile(t, m, HeaderNotRun+": shed\r\n"))
 			begin := time.Now()
-			_, err = cl.Send(context.Background(), newCall(http.MethodGet, "", true))
+			_, err := cl.Send(context.Background(), newCall(http.MethodGet, "", true))
 			var e *tarragonwell.AttemptError
 			if !errors.As(err, &e) || e.Stage != tarragonwell.StageRefused {
 				t.Fatalf("got %v, want an AttemptError with StageRefused", err)
@@ -130,7 +121,7 @@
 					Clock: common.SystemClock{},
 				},
 				Listed: tarragonwell.ListedTarget{
-					Address: startHostile(t, m),
+					Address: startHostile(t, m, ownResponse),
 				},
 				Report: func(r ProbeReport) { reports <- r },
 			})
