--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 unit:
 	@if [ -n '$(KNOWN_RED)' ]; then \
 		cat KNOWN-RED.txt; \
-		$(GO) test -race -count=1 -timeout 20m -run '$(KNOWN_RED)' ./test/... || echo "known red, not counted: the failure above"; \
+		$(GO) test -race -count=1 -timeout 20m -run '$(KNOWN_RED)' ./... || echo "known red, not counted: the failure above"; \
 	fi
 	$(GO) test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
 
