--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -242,3 +243,50 @@
 		t.Errorf("got %d exchanges, want 1 to %d", got, want)
 	}
 }
+
+// TestEveryLeavingTargetIsGossiped checks that the announcements of more leaving targets
+// than fit into a message all reach peers, the latest ones with each message, and that
+// they arrive as they were sent.
+func TestEveryLeavingTargetIsGossiped(t *testing.T) {
+	const targets, messages = 60, 200
+	p := newPeers(t, nil)
+	st := p.newState()
+	now := time.Unix(1_000_000, 0)
+	latest := ""
+	for n := range targets {
+		latest = fmt.Sprintf("i-%d", n)
+		st.view.MergeLeaving(now, tarragonwell.LeavingTarget{
+			Service:   "s",
+			ID:        latest,
+			Born:      uint64(n + 1),
+			ExpiresAt: now.Add(time.Minute + time.Duration(n)*time.Second),
+			Observed:  true,
+		})
+	}
+	received := map[string]tarragonwell.LeavingTarget{}
+	for range messages {
+		g := p.newGossip(now, st, true)
+		if got, want := len(g.leaving), maxLeaving; got != want {
+			t.Fatalf("announcements in a message: got %d, want %d", got, want)
+		}
+		if got := g.leaving[0].GetAddress(); got != latest {
+			t.Fatalf("first announcement: got %s, want %s", got, latest)
+		}
+		for _, m := range g.leaving {
+			l := leavingFromProto(m, now)
+			received[l.ID] = l
+		}
+	}
+	if got, want := len(received), targets; got != want {
+		t.Errorf("targets announced: got %d, want %d", got, want)
+	}
+	want := tarragonwell.LeavingTarget{
+		Service:   "s",
+		ID:        latest,
+		Born:      targets,
+		ExpiresAt: now.Add(time.Minute + (targets-1)*time.Second),
+	}
+	if got := received[latest]; got != want {
+		t.Errorf("got %+v, want %+v, which the receiver has not observed", got, want)
+	}
+}
--- a/internal/service/notice_test.go
+++ b/internal/service/notice_test.go
@@ -227,3 +227,49 @@
 		t.Errorf("calls: got %d, want %d", got, want)
 	}
 }
+
+// markLeaver lets the service learn from a response that a target leaves, without a call
+// that could go elsewhere.
+func markLeaver(t *testing.T, f *runningFixture, address string) {
+	t.Helper()
+	f.mailbox.Post(target.NoticeReport{
+		ID:   "i-" + address,
+		Born: 1,
+		Notice: tarragonwell.TargetNotice{
+			Leaving: true,
+		},
+	})
+	if _, err := f.Status(f.ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestResumedDownloadAvoidsLeaver checks that a download which is interrupted is not
+// resumed from a target that has said meanwhile that it leaves.
+func TestResumedDownloadAvoidsLeaver(t *testing.T) {
+	interrupted := make(chan struct{})
+	breakOff := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("ETag", `"v1"`)
+		w.Header().Set("Content-Length", "20")
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		<-interrupted
+		panic(http.ErrAbortHandler)
+	}
+	a, b := startScriptedTarget(t, breakOff), startScriptedTarget(t, breakOff)
+	f := startService(t, a.address, b.address)
+	r := f.call(http.MethodGet, true)
+	if r.Response == nil {
+		t.Fatalf("got no response: %s", r.Reason)
+	}
+	other := a
+	if a.callCount() > 0 {
+		other = b
+	}
+	markLeaver(t, f, other.address)
+	close(interrupted)
+	discard(r)
+	if got, want := other.callCount(), 0; got != want {
+		t.Errorf("calls at the leaver: got %d, want %d", got, want)
+	}
+}
--- a/pkg/tarragonwell/scheduling/leaving_test.go
+++ b/pkg/tarragonwell/scheduling/leaving_test.go
@@ -153,3 +153,26 @@
 		t.Errorf("got a grant, want none")
 	}
 }
+
+// TestHedgeAvoidsLeaver checks that a call which was sent to one target is not hedged to
+// another that has said meanwhile that it leaves.
+func TestHedgeAvoidsLeaver(t *testing.T) {
+	s := newRollingScheduler(2, 7)
+	first := acquire(s, startTime, 1, shortKind).Grant.TargetID
+	other := "i-00"
+	if first == other {
+		other = "i-01"
+	}
+	s.RecordLeaving(startTime, other, 7)
+	d := s.Acquire(startTime, AcquireRequest{
+		ID:                2,
+		Kind:              shortKind,
+		Deadline:          startTime.Add(time.Second),
+		Exclude:           []string{first},
+		Retry:             true,
+		SpareCapacityOnly: true,
+	})
+	if d.Grant != nil && d.Grant.TargetID == other {
+		t.Errorf("got a hedge to %s, which leaves", other)
+	}
+}
