--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -97,23 +97,22 @@
 	for m := range hostile.Modes {
 		t.Run(m.String(), func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			address, stop, err := (&hostile.Server{
+				Mode: m,
+			}).Start()
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Cleanup(func() { _ = l.Close() })
-			go (&hostile.Server{
-				Mode: m,
-			}).Serve(l)
+			t.Cleanup(stop)
 			p := newPeers(t, nil)
 			t.Cleanup(p.client.CloseIdleConnections)
 			begin := time.Now()
-			if got := p.exchangeAndMerge(t.Context(), l.Addr().String(), &pb.ExchangeRequest{}); got != nil {
+			if got := p.exchangeAndMerge(t.Context(), address, &pb.ExchangeRequest{}); got != nil {
 				t.Errorf("got %v, want no response", got)
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
 			defer cancel()
-			if _, err := p.FetchList(ctx, l.Addr().String(), 0); !errors.Is(err, ErrRequestFailed) {
+			if _, err := p.FetchList(ctx, address, 0); !errors.Is(err, ErrRequestFailed) {
 				t.Errorf("list: got %v, want ErrRequestFailed", err)
 			}
 			if got, want := time.Since(begin), 2*exchangeTimeout+grace; got > want {
--- a/internal/service/hostile_test.go
+++ b/internal/service/hostile_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,11 +17,6 @@
 // its address and the count of its calls.
 func startHostileTarget(t *testing.T, m hostile.Mode) (address string, calls *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	calls = &atomic.Int64{}
 	server := &hostile.Server{
 		Mode: m,
@@ -31,8 +25,12 @@
 		},
 		OnRequest: func() { calls.Add(1) },
 	}
-	go server.Serve(l)
-	return l.Addr().String(), calls
+	address, stop, err := server.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return address, calls
 }
 
 // sendHostileCalls sends calls to a service of three targets, of which one never ends its
--- a/internal/target/hostile_test.go
+++ b/internal/target/hostile_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"testing"
@@ -31,19 +30,18 @@
 // field, until the test ends.
 func startHostile(t *testing.T, m hostile.Mode, field string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	server := &hostile.Server{
 		Mode: m,
 		Header: func([]byte) string {
 			return field
 		},
 	}
-	go server.Serve(l)
-	return l.Addr().String()
+	address, stop, err := server.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return address
 }
 
 func heapBytes() uint64 {
--- a/test/standin/hostile/hostile.go
+++ b/test/standin/hostile/hostile.go
@@ -182,8 +182,18 @@
 	OnRequest func()
 }
 
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) {
+// Start serves on a free port of the loopback interface until stop is called.
+func (s *Server) Start() (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	go s.serve(l)
+	return l.Addr().String(), func() { _ = l.Close() }, nil
+}
+
+// serve accepts connections until the listener is closed.
+func (s *Server) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
