Believe a refusal without an ID on new connections only

Report of other operators: a faulty backend wrote an earlier refusal once more on a kept connection; clients were told "not run" for requests that had run, or they ran at a second backend. A refusal with another request's ID was recognised, one that echoes no ID was believed on any connection.

A response now counts as identified only if it echoes the call's ID. A refusal (also 421) that does not is believed on a connection that has carried no earlier request, where nothing old can wait; on any other it leaves the outcome open. What the target states about itself (leaving) still counts.

Test: two rows of TestRefusedAndMismatchedResponses took refusals without an ID on a kept connection for granted, which is the fault; these now echo the ID as docs/PLATFORM.md asks, and three new rows check refusals without one on new and on kept connections. Without the change "draining without an ID on a kept connection" fails: got stage refused, want sent.

--- a/internal/target/dialect.go
+++ b/internal/target/dialect.go
@@ -45,7 +45,8 @@
 		}
 	}
 	info := tarragonwell.ResponseInfo{
-		Load: parseLoad(h.Get(HeaderLoad)),
+		Identified: h.Get(HeaderAttemptID) == attemptID(c),
+		Load:       parseLoad(h.Get(HeaderLoad)),
 	}
 	notRunReason := h.Get(HeaderNotRun)
 	if notRunReason != "" {
--- a/internal/target/send.go
+++ b/internal/target/send.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, writes.attemptError(err)
 	}
-	return cl.acceptResponse(response, c)
+	return cl.acceptResponse(response, c, writes.reused)
 }
 
 // writeTracker records whether a byte of a call can have reached the target.
@@ -45,6 +45,8 @@
 	conn *trackedConn
 	// writesBefore is the number of writes on conn before it was used for the call.
 	writesBefore uint64
+	// reused is set if conn has carried an earlier request.
+	reused bool
 	// writtenEarlier is set if the call was already written to a previous connection.
 	writtenEarlier bool
 }
@@ -55,6 +57,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			w.writtenEarlier = w.written()
+			w.reused = info.Reused
 			w.conn, _ = info.Conn.(*trackedConn)
 			if w.conn != nil {
 				w.writesBefore = w.conn.setCallDeadline(c.Deadline, c.SendBefore)
@@ -173,9 +176,14 @@
 }
 
 // acceptResponse returns the target's response to a call, or an *AttemptError if the
-// dialect does not accept it.
-func (cl *Client) acceptResponse(r *http.Response, c *tarragonwell.Call) (*tarragonwell.Response, error) {
+// dialect does not accept it. reused states that the connection has carried an earlier
+// request.
+func (cl *Client) acceptResponse(r *http.Response, c *tarragonwell.Call, reused bool) (*tarragonwell.Response, error) {
 	info := cl.dialect.ParseResponseHeader(c, r.StatusCode, r.Header)
+	if reused && mayBeEarlierRefusal(&info) {
+		info.Verdict = tarragonwell.ResponseMismatched
+		info.Reason = "the refusal does not say which request it answers"
+	}
 	cl.reportNotice(info.TargetNotice)
 	if info.Verdict != tarragonwell.ResponseAccepted {
 		return nil, cl.responseError(r, info)
@@ -191,6 +199,13 @@
 	}, nil
 }
 
+// mayBeEarlierRefusal reports whether a response on a connection that has carried an earlier
+// request may be the late copy of a refusal of that request.
+func mayBeEarlierRefusal(i *tarragonwell.ResponseInfo) bool {
+	refused := i.Verdict == tarragonwell.ResponseRefused || i.Verdict == tarragonwell.ResponseMisdirected
+	return refused && !i.Identified && control.Enabled(control.ResponseIdentity)
+}
+
 // responseError closes a response that is not accepted and returns the error for it.
 // The target refused the call, or the response belongs to another call or target.
 func (cl *Client) responseError(r *http.Response, info tarragonwell.ResponseInfo) *tarragonwell.AttemptError {
--- a/internal/target/send_test.go
+++ b/internal/target/send_test.go
@@ -228,6 +228,9 @@
 	}
 }
 
+// TestRefusedAndMismatchedResponses checks which responses count as a refusal of the call.
+// A refusal without the ID of its request is believed only on a new connection: on another
+// one it may be the late copy of a refusal of an earlier request.
 func TestRefusedAndMismatchedResponses(t *testing.T) {
 	headers := make(chan http.Header, 1)
 	server := http.Server{
@@ -245,6 +248,7 @@
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	target := newClient(t, l.Addr().String())
+	own := []string{newCall(http.MethodPost, "x", false).ID}
 	tests := []struct {
 		name    string
 		header  http.Header
@@ -252,13 +256,31 @@
 		leaving bool
 	}{
 		{
-			name:    "shed",
+			name:    "shed without an ID on a new connection",
 			header:  http.Header{HeaderNotRun: {"shed"}, HeaderLoad: {"running=5, waiting=2, slots=5"}},
 			stage:   tarragonwell.StageRefused,
 			leaving: false,
 		},
+		{
+			name:    "shed",
+			header:  http.Header{HeaderAttemptID: own, HeaderNotRun: {"shed"}},
+			stage:   tarragonwell.StageRefused,
+			leaving: false,
+		},
 		{
 			name:    "draining",
+			header:  http.Header{HeaderAttemptID: own, HeaderNotRun: {"draining"}},
+			stage:   tarragonwell.StageRefused,
+			leaving: true,
+		},
+		{
+			name:    "draining without an ID on a kept connection",
+			header:  http.Header{HeaderNotRun: {"draining"}},
+			stage:   tarragonwell.StageSent,
+			leaving: true,
+		},
+		{
+			name:    "draining without an ID on the next, new connection",
 			header:  http.Header{HeaderNotRun: {"draining"}},
 			stage:   tarragonwell.StageRefused,
 			leaving: true,
--- a/pkg/tarragonwell/call.go
+++ b/pkg/tarragonwell/call.go
@@ -116,6 +116,9 @@
 // response.
 type ResponseInfo struct {
 	Verdict ResponseVerdict
+	// Identified is set if the response echoes the ID of the call. Any other may be the
+	// late copy of a response to an earlier request on the same connection.
+	Identified bool
 	// Reason is a short explanation of why the response is not accepted.
 	Reason string
 	// Load is the target's load report, or nil.
