--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -29,10 +29,10 @@
 // fetchRules fetches the rules from the peer that sent the hint, if they are newer
 // than those in force and are not the ones that were refused last.
 func (rc *reconciler) fetchRules(ctx context.Context, st *reconcilerState, m rulesHint) {
-	if st.fetchingRules || !m.version.After(st.version()) || m.version.Equal(st.refusal.version) {
+	if st.fetching[fetchRules] || !m.version.After(st.version()) || m.version.Equal(st.refusal.version) {
 		return
 	}
-	st.fetchingRules = true
+	st.fetching[fetchRules] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
@@ -44,37 +44,40 @@
 		if err != nil {
 			rc.common.Log.Debug("fetching rules failed", "peer", m.from, "error", err)
 		}
-		rc.mailbox.Post(rulesUpdate{
-			rules:     rules,
-			from:      m.from,
-			fetchDone: true,
+		rc.mailbox.Post(updateMessage{
+			update: tarragonwell.PlatformUpdate{
+				Rules: rules,
+			},
+			from:    m.from,
+			fetched: fetchRules,
 		})
 	}()
 }
 
 // fetchList fetches the changes of the list from the peer that sent the hint, if its
-// revision is newer.
+// revision is newer, and in the same request the rules that belong to them: the peer may
+// fail before a second one.
 func (rc *reconciler) fetchList(ctx context.Context, st *reconcilerState, m listHint) {
-	since := st.list.Revision()
-	if st.fetchingList || m.revision <= since {
+	since, rules := st.list.Revision(), st.processedVersion()
+	if st.fetching[fetchList] || m.revision <= since {
 		return
 	}
-	st.fetchingList = true
+	st.fetching[fetchList] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		var change *tarragonwell.ListChange
+		var update tarragonwell.PlatformUpdate
 		err := rc.isolate("fetch list", func() (err error) {
-			change, err = rc.peers.FetchList(ctx, m.from, since)
+			update, err = rc.peers.FetchList(ctx, m.from, since, rules)
 			return err
 		})
 		if err != nil {
 			rc.common.Log.Debug("fetching the list failed", "peer", m.from, "error", err)
 		}
-		rc.mailbox.Post(listUpdate{
-			change:    change,
-			from:      m.from,
-			fetchDone: true,
+		rc.mailbox.Post(updateMessage{
+			update:  update,
+			from:    m.from,
+			fetched: fetchList,
 		})
 	}()
 }
@@ -128,17 +131,11 @@
 
 // submit sends an update that was read from the platform to the task.
 func (rc *reconciler) submit(u tarragonwell.PlatformUpdate) {
-	if u.Rules != nil {
-		rc.mailbox.Post(rulesUpdate{
-			rules: u.Rules,
-			from:  fromPlatform,
-		})
-	}
-	if u.List != nil {
-		rc.mailbox.Post(listUpdate{
-			change:  u.List,
-			from:    fromPlatform,
-			invalid: u.Invalid,
-		})
+	if u.Rules == nil && u.List == nil {
+		return
 	}
+	rc.mailbox.Post(updateMessage{
+		update: u,
+		from:   fromPlatform,
+	})
 }
--- /dev/null
+++ b/internal/instance/fetch_test.go
@@ -0,0 +1,209 @@
+package instance
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/internal/peer"
+	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
+	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// fakeStore is a platform with one feed, whose list has the revision of all its data.
+type fakeStore struct {
+	mu    sync.Mutex
+	rules tarragonwell.PublishedRules
+	// revision is that of the latest change, of the rules or of a target.
+	revision uint64
+}
+
+// Feeds implements tarragonwell.PlatformClient.
+func (f *fakeStore) Feeds() []tarragonwell.Feed {
+	return []tarragonwell.Feed{f}
+}
+
+// ParseRules implements tarragonwell.PlatformClient. All content is valid but "invalid".
+func (f *fakeStore) ParseRules(p *tarragonwell.PublishedRules) (*tarragonwell.RuleSet, error) {
+	if string(p.Content) == "invalid" {
+		return nil, rulesfile.ErrInvalid
+	}
+	return &tarragonwell.RuleSet{
+		Version: rulesfile.VersionOf(p.Revision, p.Content),
+		Content: p.Content,
+	}, nil
+}
+
+// Name implements tarragonwell.Feed.
+func (f *fakeStore) Name() string {
+	return "store"
+}
+
+// MayRegress implements tarragonwell.Feed.
+func (f *fakeStore) MayRegress() bool {
+	return false
+}
+
+// Watch implements tarragonwell.Feed. It never waits.
+func (f *fakeStore) Watch(_ context.Context, after tarragonwell.PlatformPosition, _ time.Duration) (tarragonwell.PlatformUpdate, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var u tarragonwell.PlatformUpdate
+	if after.List >= f.revision {
+		return u, nil
+	}
+	u.List = &tarragonwell.ListChange{
+		Since:    after.List,
+		Revision: f.revision,
+	}
+	if f.rules.Revision > after.List {
+		rules := f.rules
+		u.Rules = &rules
+	}
+	return u, nil
+}
+
+// publish publishes rules.
+func (f *fakeStore) publish(content string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	f.rules = tarragonwell.PublishedRules{
+		Revision: f.revision,
+		Content:  []byte(content),
+	}
+}
+
+// fetchFixture is an instance whose reconciler and peers run; its watchers do not.
+type fetchFixture struct {
+	*Instance
+	ctx   context.Context
+	store *fakeStore
+}
+
+func startFetchFixture(t *testing.T, store *fakeStore) *fetchFixture {
+	t.Helper()
+	l, err := common.NewLogger(io.Discard, "error", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := New(&settingsfile.Settings{
+		GossipInterval: time.Hour,
+	}, l, nil, Adapters{
+		Platform: store,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { i.reconciler.Run(ctx) })
+	running.Go(func() { i.peers.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return &fetchFixture{
+		Instance: i,
+		ctx:      ctx,
+		store:    store,
+	}
+}
+
+// read reads the store once, from the position at which the instance's watcher would go
+// on, and waits until the update is applied.
+func (f *fetchFixture) read(t *testing.T) {
+	t.Helper()
+	after, wait := f.watchArguments(false, 0)
+	u, err := f.store.Watch(f.ctx, after, wait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.reconciler.submit(u)
+	f.settle(t)
+}
+
+// settle waits until the reconciler has handled the messages before.
+func (f *fetchFixture) settle(t *testing.T) {
+	t.Helper()
+	if _, err := f.reconciler.ChangesSince(f.ctx, 0, tarragonwell.RulesVersion{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fetchFixture) rulesContent() string {
+	if r := f.reconciler.Rules(); r != nil {
+		return string(r.Content)
+	}
+	return ""
+}
+
+// servePeers serves the fixture's data to peers, but for the methods that are cut off.
+func (f *fetchFixture) servePeers(t *testing.T, cutOff ...string) (address string) {
+	t.Helper()
+	s := &peer.Server{
+		Peers:        f.peers,
+		PlatformData: f.reconciler,
+	}
+	handler := s.Handler()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, method := range cutOff {
+			if strings.HasSuffix(r.URL.Path, "/"+method) {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	server.Config.Protocols = protocols
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// fetchWait bounds the wait for a fetch from a peer.
+const fetchWait = 2 * time.Second
+
+// TestReaderLostBetweenListAndRules checks that an instance gets new rules although the
+// instance that read them from the platform fails after it has passed on the list of their
+// revision and before it has passed on the rules themselves. Otherwise the rules are never
+// read again, as the platform is then asked for later changes only.
+func TestReaderLostBetweenListAndRules(t *testing.T) {
+	for name, cutOff := range map[string][]string{
+		"nothing lost":       nil,
+		"lost after list":    {"FetchRules"},
+		"lost before either": {"FetchRules", "FetchList"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &fakeStore{}
+			store.publish("old")
+			reader := startFetchFixture(t, store)
+			other := startFetchFixture(t, store)
+			reader.read(t)
+			other.read(t)
+			store.publish("new")
+			reader.read(t)
+
+			address := reader.servePeers(t, cutOff...)
+			other.onNewerList(address, store.revision)
+			other.onNewerRules(address, rulesfile.VersionOf(store.rules.Revision, store.rules.Content))
+			for begin := time.Now(); time.Since(begin) < fetchWait; time.Sleep(time.Millisecond) {
+				if other.reconciler.snapshot.Load().listRevision == store.revision || len(cutOff) > 1 {
+					break
+				}
+			}
+			other.read(t)
+			if got, want := other.rulesContent(), "new"; got != want {
+				t.Errorf("rules: got %q, want %q", got, want)
+			}
+			if got, want := other.reconciler.snapshot.Load().listRevision, store.revision; got != want {
+				t.Errorf("list: got revision %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -67,16 +67,18 @@
 
 // reconcilerState is owned by the goroutine of Run.
 type reconcilerState struct {
-	rules   *tarragonwell.RuleSet
+	rules *tarragonwell.RuleSet
+	// list is never ahead of the rules: where the platform has one revision for both, all
+	// rules up to the revision of the list have been accepted or refused. The platform is
+	// asked for changes after that revision only.
 	list    listing.Listing
 	refusal refusal
 	// running is keyed by the name of the service.
 	running map[string]*runningService
 	// conflict is the version of the latest recorded conflict.
 	conflict tarragonwell.RulesVersion
-	// fetchingRules and fetchingList limit the fetches to one of each at a time.
-	fetchingRules bool
-	fetchingList  bool
+	// fetching holds the fetches from peers in progress, at most one of each kind.
+	fetching map[fetchKind]bool
 	// counts are those that the services were last configured with.
 	counts fleetCounts
 	// maxAlive is the highest number of instances that were alive at the same time,
@@ -93,28 +95,31 @@
 	resyncing bool
 }
 
-// rulesUpdate carries a rules file that was read from the platform or a peer.
-type rulesUpdate struct {
-	rules *tarragonwell.PublishedRules
-	from  string
-	// fetchDone marks the end of a fetch from a peer. rules is nil if it failed.
-	fetchDone bool
-}
+// fetchKind is the kind of a fetch from a peer.
+type fetchKind int
 
-// listUpdate carries a change of the list that was read from the platform or a peer.
-type listUpdate struct {
-	change *tarragonwell.ListChange
+const (
+	fetchNone fetchKind = iota
+	fetchRules
+	// fetchList fetches the list with the rules that belong to it.
+	fetchList
+)
+
+// updateMessage carries what was read from the platform or from a peer at once.
+type updateMessage struct {
+	update tarragonwell.PlatformUpdate
 	from   string
-	// invalid holds the entries that were left out of the change.
-	invalid []tarragonwell.InvalidEntry
-	// fetchDone marks the end of a fetch from a peer. change is nil if it failed.
-	fetchDone bool
+	// fetched is the fetch that has ended with this message; its update is empty if it
+	// failed.
+	fetched fetchKind
 }
 
-// listSinceMessage requests the changes of the list after a revision.
-type listSinceMessage struct {
+// changesSinceMessage requests the changes of the list after a revision, with the rules
+// if they are newer than the version.
+type changesSinceMessage struct {
 	revision uint64
-	reply    chan<- *tarragonwell.ListChange
+	rules    tarragonwell.RulesVersion
+	reply    chan<- tarragonwell.PlatformUpdate
 }
 
 // leavingAnnouncement is a peer's announcement that a target is leaving.
@@ -140,12 +145,13 @@
 	return nil
 }
 
-// ListSince returns the changes of the platform's list after a revision, or nil
-// before the first list. It fails with task.ErrStopped or the error of ctx.
-func (rc *reconciler) ListSince(ctx context.Context, revision uint64) (*tarragonwell.ListChange, error) {
-	return task.Ask(ctx, rc.mailbox, func(reply chan<- *tarragonwell.ListChange) any {
-		return listSinceMessage{
+// ChangesSince implements peer.PlatformData. It fails with task.ErrStopped or the error
+// of ctx.
+func (rc *reconciler) ChangesSince(ctx context.Context, revision uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
+	return task.Ask(ctx, rc.mailbox, func(reply chan<- tarragonwell.PlatformUpdate) any {
+		return changesSinceMessage{
 			revision: revision,
+			rules:    rules,
 			reply:    reply,
 		}
 	})
@@ -168,6 +174,7 @@
 	defer cancel()
 	st := &reconcilerState{
 		running:        map[string]*runningService{},
+		fetching:       map[fetchKind]bool{},
 		invalidEntries: map[string]bool{},
 	}
 	ticker := time.NewTicker(tickInterval)
@@ -206,23 +213,13 @@
 
 func (rc *reconciler) handle(ctx context.Context, st *reconcilerState, wg *sync.WaitGroup, message any) {
 	switch m := message.(type) {
-	case rulesUpdate:
-		if m.fetchDone {
-			st.fetchingRules = false
-		}
-		if m.rules != nil && rc.applyRules(st, m) {
+	case updateMessage:
+		delete(st.fetching, m.fetched)
+		if rc.applyUpdate(st, m) {
 			rc.reconcile(ctx, st, wg)
 		}
-	case listUpdate:
-		if m.fetchDone {
-			st.fetchingList = false
-		}
-		rc.logInvalidEntries(st, m)
-		if m.change != nil && rc.applyList(st, m) {
-			rc.reconcile(ctx, st, wg)
-		}
-	case listSinceMessage:
-		m.reply <- st.list.ChangesSince(m.revision)
+	case changesSinceMessage:
+		m.reply <- st.changesSince(m.revision, m.rules)
 	case rulesHint:
 		rc.fetchRules(ctx, st, m)
 	case listHint:
@@ -241,43 +238,70 @@
 	}
 }
 
+// applyUpdate applies the rules and the list of an update, in this order, and reports
+// whether either has changed.
+func (rc *reconciler) applyUpdate(st *reconcilerState, m updateMessage) bool {
+	changed := m.update.Rules != nil && rc.applyRules(st, m.update.Rules, m.from)
+	rc.logInvalidEntries(st, &m.update)
+	if m.update.List != nil && rc.applyList(st, m.update.List, m.from) {
+		changed = true
+	}
+	return changed
+}
+
+// changesSince returns the changes of the list after a revision, with the rules in force
+// if they are newer than the version. A refused file is left out: every instance refuses
+// it.
+func (st *reconcilerState) changesSince(revision uint64, rules tarragonwell.RulesVersion) tarragonwell.PlatformUpdate {
+	u := tarragonwell.PlatformUpdate{
+		List: st.list.ChangesSince(revision),
+	}
+	if st.version().After(rules) {
+		u.Rules = &tarragonwell.PublishedRules{
+			Revision: st.rules.Version.Revision,
+			Content:  st.rules.Content,
+		}
+	}
+	return u
+}
+
 // applyRules accepts or refuses a rules file and reports whether the rules in force
 // have changed. Whether a file is valid depends only on its revision and bytes, so
 // that all instances agree.
-func (rc *reconciler) applyRules(st *reconcilerState, m rulesUpdate) bool {
-	v := rulesfile.VersionOf(m.rules.Revision, m.rules.Content)
+func (rc *reconciler) applyRules(st *reconcilerState, published *tarragonwell.PublishedRules, from string) bool {
+	v := rulesfile.VersionOf(published.Revision, published.Content)
 	current := st.version()
 	if v.Equal(current) || v.Equal(st.refusal.version) {
 		return false
 	}
-	rc.recordConflict(st, v, m.from)
+	rc.recordConflict(st, v, from)
 	// For files from the platform, tests can switch this check off (package control)
 	// to prove that it is needed.
-	if !v.After(current) && (m.from != fromPlatform || control.Enabled(control.NewestRules)) {
+	if !v.After(current) && (from != fromPlatform || control.Enabled(control.NewestRules)) {
 		return false
 	}
 	var set *tarragonwell.RuleSet
 	err := rc.isolate("parse rules", func() (err error) {
-		set, err = rc.platform.ParseRules(m.rules)
+		set, err = rc.platform.ParseRules(published)
 		return err
 	})
 	if err != nil {
-		rc.refuse(st, v, m.from, err)
+		rc.refuse(st, v, from, err)
 		return false
 	}
-	rc.recordAccepted(st.rules, set, m.from)
+	rc.recordAccepted(st.rules, set, from)
 	st.rules = set
 	return true
 }
 
 // applyList applies a change of the list and reports whether the list has changed.
-func (rc *reconciler) applyList(st *reconcilerState, m listUpdate) bool {
+func (rc *reconciler) applyList(st *reconcilerState, c *tarragonwell.ListChange, from string) bool {
 	changed, ok := false, true
 	_ = rc.common.Isolate("apply list", func() {
-		changed, ok = st.list.Apply(rc.common.Clock.Now(), rc.peers.Snapshot().PlatformConfirmedAt, m.change)
+		changed, ok = st.list.Apply(rc.common.Clock.Now(), rc.peers.Snapshot().PlatformConfirmedAt, c)
 	})
 	if !ok {
-		rc.common.Log.Warn("list change skips revisions", "since", m.change.Since, "have", st.list.Revision(), "from", m.from)
+		rc.common.Log.Warn("list change skips revisions", "since", c.Since, "have", st.list.Revision(), "from", from)
 	}
 	return changed
 }
@@ -287,18 +311,18 @@
 
 // logInvalidEntries logs each invalid entry once until it is valid, because an entry is
 // written again and again.
-func (rc *reconciler) logInvalidEntries(st *reconcilerState, m listUpdate) {
-	for _, x := range m.invalid {
+func (rc *reconciler) logInvalidEntries(st *reconcilerState, u *tarragonwell.PlatformUpdate) {
+	for _, x := range u.Invalid {
 		if st.invalidEntries[x.ID] || len(st.invalidEntries) >= maxInvalidEntries {
 			continue
 		}
 		st.invalidEntries[x.ID] = true
 		rc.common.Log.Warn("entry-unreadable", "target", x.ID, "revision", x.Revision, "error", x.Err)
 	}
-	if m.change == nil {
+	if u.List == nil {
 		return
 	}
-	for _, t := range m.change.Targets {
+	for _, t := range u.List.Targets {
 		delete(st.invalidEntries, t.ID)
 	}
 }
@@ -311,13 +335,21 @@
 	return st.rules.Version
 }
 
+// processedVersion returns the latest version of the rules that was accepted or refused.
+func (st *reconcilerState) processedVersion() tarragonwell.RulesVersion {
+	if v := st.refusal.version; v.After(st.version()) {
+		return v
+	}
+	return st.version()
+}
+
 // announceVersions passes to the gossip task the version of the rules in force, the
 // position processed so far, which includes refused rules, and the addresses of the
 // listed instances. A new rules revision is gossiped immediately; the list revision is
 // gossiped together with the confirmations by the platform.
 func (rc *reconciler) announceVersions(st *reconcilerState) {
 	position := tarragonwell.PlatformPosition{
-		Rules: max(st.version().Revision, st.refusal.version.Revision),
+		Rules: st.processedVersion().Revision,
 		List:  st.list.Revision(),
 	}
 	push := position.Rules != st.announced.Rules
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -102,22 +102,28 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrRequestFailed, err.Error())
 	}
-	return &tarragonwell.PublishedRules{
-		Revision: response.Msg.GetVersion().GetRevision(),
-		Content:  response.Msg.GetContent(),
-	}, nil
+	return rulesFromProto(response.Msg), nil
 }
 
 // FetchList returns the changes after a revision, from a peer's copy of the platform's
-// list. The error wraps ErrRequestFailed.
-func (p *Peers) FetchList(ctx context.Context, address string, since uint64) (*tarragonwell.ListChange, error) {
+// list, and the peer's rules if they are newer than the version. The error wraps
+// ErrRequestFailed.
+func (p *Peers) FetchList(ctx context.Context, address string, since uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
+	var none tarragonwell.PlatformUpdate
 	response, err := p.serviceClient(address).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{
 		Since: since,
+		Rules: versionToProto(rules),
 	}))
 	if err != nil {
-		return nil, eris.Wrap(ErrRequestFailed, err.Error())
+		return none, eris.Wrap(ErrRequestFailed, err.Error())
 	}
-	return listChangeFromProto(response.Msg.GetChange()), nil
+	if !response.Msg.GetCoversRules() {
+		return none, eris.Wrap(ErrRequestFailed, "the list comes without the rules that belong to it")
+	}
+	return tarragonwell.PlatformUpdate{
+		Rules: rulesFromProto(response.Msg.GetRules()),
+		List:  listChangeFromProto(response.Msg.GetChange()),
+	}, nil
 }
 
 // Forward implements tarragonwell.Forwarder. The error wraps ErrRequestFailed.
--- a/internal/peer/list.go
+++ b/internal/peer/list.go
@@ -6,6 +6,30 @@
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
+// rulesToProto converts published rules, without their digest. It returns nil for nil.
+func rulesToProto(r *tarragonwell.PublishedRules) *pb.FetchRulesResponse {
+	if r == nil {
+		return nil
+	}
+	return &pb.FetchRulesResponse{
+		Version: &pb.RulesVersion{
+			Revision: r.Revision,
+		},
+		Content: r.Content,
+	}
+}
+
+// rulesFromProto converts published rules. It returns nil for nil.
+func rulesFromProto(m *pb.FetchRulesResponse) *tarragonwell.PublishedRules {
+	if m == nil {
+		return nil
+	}
+	return &tarragonwell.PublishedRules{
+		Revision: m.GetVersion().GetRevision(),
+		Content:  m.GetContent(),
+	}
+}
+
 // listChangeToProto converts a change of the list. It returns nil for nil.
 func listChangeToProto(c *tarragonwell.ListChange) *pb.ListChange {
 	if c == nil {
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -112,7 +112,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
 			defer cancel()
-			if _, err := p.FetchList(ctx, address, 0); !errors.Is(err, ErrRequestFailed) {
+			if _, err := p.FetchList(ctx, address, 0, tarragonwell.RulesVersion{}); !errors.Is(err, ErrRequestFailed) {
 				t.Errorf("list: got %v, want ErrRequestFailed", err)
 			}
 			if got, want := time.Since(begin), 2*exchangeTimeout+grace; got > want {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -36,9 +36,10 @@
 type PlatformData interface {
 	// Rules returns the rules in force, or nil if there are none yet.
 	Rules() *tarragonwell.RuleSet
-	// ListSince returns the changes to the platform's list after a revision, or nil if
-	// there is no list yet.
-	ListSince(ctx context.Context, revision uint64) (*tarragonwell.ListChange, error)
+	// ChangesSince returns the changes to the platform's list after a revision, with the
+	// rules that belong to them if they are newer than the version. The list is nil if
+	// there is none yet.
+	ChangesSince(ctx context.Context, revision uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error)
 }
 
 // Server serves the requests of peers.
@@ -98,18 +99,23 @@
 }
 
 // FetchList responds with the changes after a revision, from the latest list that the
-// instance has.
+// instance has, and with the rules in force if the peer has older ones.
 func (s *Server) FetchList(ctx context.Context, r *connect.Request[pb.FetchListRequest]) (*connect.Response[pb.FetchListResponse], error) {
-	change, err := s.PlatformData.ListSince(ctx, r.Msg.GetSince())
+	update, err := s.PlatformData.ChangesSince(ctx, r.Msg.GetSince(), versionFromProto(r.Msg.GetRules()))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	if change == nil {
+	if update.List == nil {
 		return nil, connect.NewError(connect.CodeNotFound, nil)
 	}
-	return connect.NewResponse(&pb.FetchListResponse{
-		Change: listChangeToProto(change),
-	}), nil
+	response := &pb.FetchListResponse{
+		Change: listChangeToProto(update.List),
+	}
+	if r.Msg.GetRules() != nil {
+		response.CoversRules = true
+		response.Rules = rulesToProto(update.Rules)
+	}
+	return connect.NewResponse(response), nil
 }
 
 // Operate applies an operation's verb and responds with the result, or with the holder
