Place calls again after the only news of the targets was a refusal

With no call in flight no response brings other news, and the probe for queued calls, which is there for this case, was never sent, as there is only one target: probes to choose among targets need two, and both share a function. If probes fail, the same happens with any number of targets.

Queued calls are now probed for with one target too.

--- a/pkg/tarragonwell/scheduling/placement_probe.go
+++ b/pkg/tarragonwell/scheduling/placement_probe.go
@@ -59,11 +59,15 @@
 		Kind:    r.Kind,
 		Exclude: r.Exclude,
 	})
-	nearest := policy.NearestTargets(eligible, r.Kind)
-	if round > 0 && r.Kind.CrossDataCenter && s.nearlyFull(now, nearest) {
-		return s.sampleTargets(now, policy.OverflowProbeTargets(eligible), limit)
+	targets := policy.NearestTargets(eligible, r.Kind)
+	if round > 0 && r.Kind.CrossDataCenter && s.nearlyFull(now, targets) {
+		targets = policy.OverflowProbeTargets(eligible)
 	}
-	return s.sampleTargets(now, nearest, limit)
+	if len(targets) < 2 {
+		// There is nothing to choose from.
+		return nil
+	}
+	return s.sampleTargets(now, targets, limit)
 }
 
 // nearlyFull reports whether any of the targets were probed recently and one more
@@ -86,7 +90,7 @@
 
 // ProbeTargetsForQueue returns the IDs of the targets to probe on behalf of
 // queued calls, at intervals of queueProbeInterval. A slot that is freed by
-// another instance is discovered only by such a probe.
+// another instance is discovered only by such a probe, also if there is only one target.
 func (s *Scheduler) ProbeTargetsForQueue(now time.Time) []string {
 	first := s.queue.Peek()
 	if first == nil || now.Sub(s.lastQueueProbe) < queueProbeInterval {
@@ -98,11 +102,8 @@
 
 // sampleTargets selects up to limit targets at random, within the probe budget
 // and without those that were probed recently. It returns none if one of the
-// targets is lightly loaded or there are fewer than two to choose from.
+// targets is lightly loaded.
 func (s *Scheduler) sampleTargets(now time.Time, targets []*tarragonwell.TargetState, limit int) []string {
-	if len(targets) < 2 {
-		return nil
-	}
 	for _, t := range targets {
 		if s.lightlyLoaded(now, t) {
 			return nil
