Bound the memory of all buffered responses together

Report of other operators: a faulty backend sent bytes without end; the machine that called it ran out of memory, and requests of others ended with it.

A process now reserves each block of a response that it buffers from one budget, limits.held-answer-total-bytes, when the bytes before it have arrived. If the budget is spent, the response is streamed, as one beyond held-answer-bytes already was. Request bodies use the same type of budget.

The hostile targets of the service's tests echoed an ID that is that of no attempt, so all their responses counted as another call's: they now echo that of the attempt, and TestHostileTargetAmongOthers plays what its name says.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -57,9 +57,8 @@
 	dialect      tarragonwell.CallerDialect
 	nextCallID   atomic.Uint64
 	callIDPrefix string
-	// bufferedBytes is the memory reserved for the bodies of the requests in
-	// flight.
-	bufferedBytes atomic.Int64
+	// requestBytes bounds the bodies of the requests in flight.
+	requestBytes common.ByteBudget
 }
 
 // NewServer returns a server with the given options.
@@ -71,6 +70,9 @@
 		options:      o,
 		dialect:      o.Dialect,
 		callIDPrefix: hex.EncodeToString(o.Common.Incarnation[:6]),
+		requestBytes: common.ByteBudget{
+			Limit: o.Common.Settings.MaxTotalRequestBytes,
+		},
 	}
 }
 
@@ -171,12 +173,10 @@
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength)
 	}
-	release = func() { s.bufferedBytes.Add(-size) }
-	if s.bufferedBytes.Add(size) > s.options.Common.Settings.MaxTotalRequestBytes {
-		release()
+	if !s.requestBytes.Reserve(size) {
 		return nil, false
 	}
-	return release, true
+	return func() { s.requestBytes.Release(size) }, true
 }
 
 // bodyLimit returns the limit on a request's body: that of the rules or, if they
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -95,7 +95,7 @@
 	if got, want := w.Header().Get("Retry-After"), "2"; got != want {
 		t.Errorf("retry after: got %q, want %q", got, want)
 	}
-	if got, want := s.bufferedBytes.Load(), int64(0); got != want {
+	if got, want := s.requestBytes.Reserved(), int64(0); got != want {
 		t.Errorf("buffered bytes afterwards: got %d, want %d", got, want)
 	}
 }
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -26,6 +26,8 @@
 	Metrics    *metrics.Set
 	Audit      tarragonwell.AuditSink
 	Clock      tarragonwell.Clock
+	// ResponseBytes bounds the buffered responses of all services.
+	ResponseBytes ByteBudget
 	// Incarnation is the random ID of this run of the process.
 	Incarnation tarragonwell.Incarnation
 	Started     time.Time
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -83,8 +82,9 @@
 	}
 }
 
-// buffer reads the body of a short response into memory. A body that exceeds the
-// limit is streamed instead, and the lease is then released when the body is closed.
+// buffer reads the body of a short response into memory. A body that exceeds the limit, or
+// for which there is no memory left, is streamed instead, and the lease is then released
+// when the body is closed.
 func (d *dispatch) buffer(ctx context.Context, cancel context.CancelFunc, l *lease, r *tarragonwell.Response, begin time.Time) (*tarragonwell.Response, *tarragonwell.AttemptError) {
 	limit := d.dispatcher.options.Common.Settings.MaxResponseBufferBytes
 	length := r.Length
@@ -92,8 +92,12 @@
 		// The response to HEAD states a length but has no body.
 		length = 0
 	}
-	buffered, err := readUpTo(r.Body, length, limit+1)
+	buffered := &responseBuffer{
+		budget: &d.dispatcher.options.Common.ResponseBytes,
+	}
+	ended, err := buffered.fill(r.Body, length, limit)
 	if err != nil {
+		buffered.release()
 		_ = r.Body.Close()
 		cancel()
 		e := &tarragonwell.AttemptError{
@@ -111,38 +115,28 @@
 		Latency: d.dispatcher.since(begin),
 		Load:    r.Load,
 	}
-	if int64(len(buffered)) > limit {
+	if !ended {
 		r.Body = &releasingBody{
-			reader:  io.MultiReader(bytes.NewReader(buffered), r.Body),
-			body:    r.Body,
-			ctx:     ctx,
-			cancel:  cancel,
-			lease:   l,
-			release: release,
+			reader:   io.MultiReader(buffered, r.Body),
+			buffered: buffered,
+			body:     r.Body,
+			ctx:      ctx,
+			cancel:   cancel,
+			lease:    l,
+			release:  release,
 		}
 		return r, nil
 	}
 	_ = r.Body.Close()
 	cancel()
 	l.release(release)
-	r.Body = io.NopCloser(bytes.NewReader(buffered))
+	r.Body = buffered
 	if d.call.Method != http.MethodHead {
-		r.Length = int64(len(buffered))
+		r.Length = buffered.size
 	}
 	return r, nil
 }
 
-// readUpTo reads a body to its end, or its first limit bytes if it is longer. The
-// length is -1 if it is not known.
-func readUpTo(body io.Reader, length, limit int64) ([]byte, error) {
-	if length < 0 || length >= limit {
-		return io.ReadAll(io.LimitReader(body, limit))
-	}
-	buffered := make([]byte, length)
-	_, err := io.ReadFull(body, buffered)
-	return buffered, err
-}
-
 // resultForStatus returns the result of an attempt whose response has the status:
 // server errors count as failures of the target.
 func resultForStatus(status int) scheduling.AttemptResult {
--- a/internal/service/hostile_test.go
+++ b/internal/service/hostile_test.go
@@ -1,8 +1,11 @@
 package service
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,10 +22,8 @@
 	t.Helper()
 	calls = &atomic.Int64{}
 	server := &hostile.Server{
-		Mode: m,
-		Header: func([]byte) string {
-			return target.HeaderAttemptID + ": id\r\n"
-		},
+		Mode:      m,
+		Header:    echoAttemptID,
 		OnRequest: func() { calls.Add(1) },
 	}
 	address, stop, err := server.Start()
@@ -33,6 +34,16 @@
 	return address, calls
 }
 
+// echoAttemptID returns the field that echoes the ID of a request.
+func echoAttemptID(request []byte) string {
+	for line := range strings.Lines(string(request)) {
+		if strings.HasPrefix(line, target.HeaderAttemptID+":") {
+			return line
+		}
+	}
+	return ""
+}
+
 // sendHostileCalls sends calls to a service of three targets, of which one never ends its
 // responses, from a few callers. It returns the longest time of a call, and the number of
 // calls that did not end well.
@@ -92,3 +103,62 @@
 		})
 	}
 }
+
+// TestHostileResponsesShareMemory checks that the memory for responses which never end is
+// bounded for the whole process, however many calls wait for one.
+func TestHostileResponsesShareMemory(t *testing.T) {
+	const (
+		callers = 150
+		limit   = 4 << 20
+		// overhead is what the connections and the garbage collector may take besides.
+		overhead = 3 * limit
+	)
+	for _, m := range []hostile.Mode{hostile.EndlessBody, hostile.EndlessChunks, hostile.SlowBody} {
+		t.Run(m.String(), func(t *testing.T) {
+			address, _ := startHostileTarget(t, m)
+			f := startServiceWith(t, func(o *Options) {
+				o.Common.Settings.MaxResponseBufferBytes = 1 << 20
+				o.Common.ResponseBytes.Limit = limit
+				o.ServiceRule.Slots = 2 * callers
+				o.ServiceRule.Connections = 2 * callers
+			}, address)
+			before := heapBytes()
+			var peak uint64
+			ctx, stop := context.WithCancel(f.ctx)
+			var sampling, running sync.WaitGroup
+			sampling.Go(func() {
+				for ctx.Err() == nil {
+					peak = max(peak, heapBytes())
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+			for range callers {
+				running.Go(func() {
+					r := f.call(http.MethodGet, false)
+					// The caller does not read; a streamed response waits for it.
+					time.Sleep(callTimeout / 4)
+					if r.Response != nil {
+						_ = r.Response.Body.Close()
+					}
+				})
+			}
+			running.Wait()
+			stop()
+			sampling.Wait()
+			if got, want := peak-min(peak, before), uint64(limit+overhead); got > want {
+				t.Errorf("got %d bytes more on the heap, want at most %d", got, want)
+			}
+			if got, want := f.options.Common.ResponseBytes.Reserved(), int64(0); got != want {
+				t.Errorf("reserved at the end: got %d bytes, want %d", got, want)
+			}
+		})
+	}
+}
+
+// heapBytes returns the bytes on the heap that are in use.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/service/releasing_body.go
+++ b/internal/service/releasing_body.go
@@ -12,7 +12,9 @@
 // lease when it is closed.
 type releasingBody struct {
 	reader io.Reader
-	body   io.Closer
+	// buffered is the part of the body that was read before it was streamed.
+	buffered *responseBuffer
+	body     io.Closer
 	// ctx is that of the attempt; it ends at the call's deadline.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -41,6 +43,7 @@
 	if b.end != io.EOF {
 		b.release.Result = unfinishedResult(b.ctx, b.end)
 	}
+	b.buffered.release()
 	err := b.body.Close()
 	b.cancel()
 	b.lease.release(b.release)
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -66,6 +66,9 @@
 	MaxTotalRequestBytes int64
 	// MaxResponseBufferBytes bounds each response that is buffered until complete.
 	MaxResponseBufferBytes int64
+	// MaxTotalResponseBytes bounds the total size of the responses that are buffered at a
+	// time. Beyond it, responses are streamed.
+	MaxTotalResponseBytes int64
 	// MaxTickets bounds the outstanding tickets of operations, used or not.
 	MaxTickets int
 	// MaxOperationBytes bounds the total size of the retained responses to operations.
@@ -116,6 +119,7 @@
 	defaultMaxRequestBodyBytes    = 1 << 20
 	defaultMaxTotalRequestBytes   = 64 << 20
 	defaultMaxResponseBufferBytes = 256 << 10
+	defaultMaxTotalResponseBytes  = 32 << 20
 	defaultMaxTickets             = 200_000
 	defaultMaxOperationBytes      = 32 << 20
 	defaultAuditRecords           = 4096
@@ -180,6 +184,7 @@
 		DrainLimit:             c.Duration("shutdown.drain-limit", m.GetShutdown().GetDrainLimit(), defaultDrainLimit),
 		MaxRequestBodyBytes:    orDefault(int64(m.GetLimits().GetRequestBodyBytes()), defaultMaxRequestBodyBytes),
 		MaxTotalRequestBytes:   orDefault(int64(m.GetLimits().GetHeldRequestBytes()), defaultMaxTotalRequestBytes),
+		MaxTotalResponseBytes:  orDefault(int64(m.GetLimits().GetHeldAnswerTotalBytes()), defaultMaxTotalResponseBytes),
 		MaxResponseBufferBytes: orDefault(int64(m.GetLimits().GetHeldAnswerBytes()), defaultMaxResponseBufferBytes),
 		MaxTickets:             orDefault(int(m.GetLimits().GetOperations()), defaultMaxTickets),
 		MaxOperationBytes:      orDefault(int(m.GetLimits().GetOperationBytes()), defaultMaxOperationBytes),
@@ -228,7 +233,7 @@
 	if s.Budgets.RetrySlack < 0 || s.Budgets.ProbeBudget < 0 {
 		c.Fail("budgets", "a budget is negative")
 	}
-	if s.MaxRequestBodyBytes < 0 || s.MaxResponseBufferBytes < 0 {
+	if s.MaxRequestBodyBytes < 0 || s.MaxResponseBufferBytes < 0 || s.MaxTotalResponseBytes < 0 {
 		c.Fail("limits", "a size is out of range")
 	}
 	c.OneOf("log.level", s.LogLevel, "debug", "info", "warn", "error")
