Answer every call before a planned stop ends

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut without an answer at its end, among them ones that must not repeat. It can happen here: a request whose body is complete late was passed on although its target needs more time than is left, and what waited in the queue or was at a target at the end lost its connection, also calls that no target had seen.

A stopping instance now bounds the deadline of calls that begin by the end of its drain, and rejects a call which would most likely not end by then (by the tail latency of its kind; before the first call, its objective), with a short Retry-After, as other instances have the time. At 0.92 of the drain limit the calls still in progress are ended and answered: not-run if nothing was sent, else an open outcome; at 0.95 the instance exits as before.

--- a/internal/caller/log.go
+++ b/internal/caller/log.go
@@ -1,9 +1,12 @@
 package caller
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
@@ -24,10 +27,15 @@
 	log("call-ended", "call", call.ID, "kind", call.Route.Kind.Name, "service", call.Service.Name,
 		"path", call.RequestURI, "rules-revision", routing.Rules.Version.Revision,
 		"outcome", result.Outcome.String(), "status", status, "reason", result.Reason,
-		"caller-left", r.Context().Err() != nil, "retry-after-ms", result.RetryAfter.Milliseconds(),
+		"caller-left", callerLeft(r), "retry-after-ms", result.RetryAfter.Milliseconds(),
 		"took-ms", now.Sub(arrived).Milliseconds(), "left-ms", call.Deadline.Sub(now).Milliseconds())
 }
 
+// callerLeft reports whether a request ended because its caller did not wait any longer.
+func callerLeft(r *http.Request) bool {
+	return r.Context().Err() != nil && !errors.Is(context.Cause(r.Context()), common.ErrStopping)
+}
+
 // logRejected logs a request that was rejected before it became a call. It has
 // no generated call ID: the line has the ID that the caller sent, if the dialect
 // defines one.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -49,6 +49,8 @@
 	// Leaving reports whether the instance has begun a graceful stop. HTTP/1.1
 	// connections are then closed after the next response.
 	Leaving func() bool
+	// Context ends all calls in progress, which are then answered; nil for none.
+	Context context.Context
 }
 
 // Server serves callers.
@@ -88,9 +90,18 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          s.options.Common.Log.StandardLog(),
+		BaseContext:       s.baseContext,
 	}
 }
 
+// baseContext returns the context of all requests.
+func (s *Server) baseContext(net.Listener) context.Context {
+	if s.options.Context == nil {
+		return context.Background()
+	}
+	return s.options.Context
+}
+
 // Handler returns the handler for all requests of callers.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -28,6 +28,8 @@
 	Clock      tarragonwell.Clock
 	// ResponseBytes bounds the buffered responses of all services.
 	ResponseBytes ByteBudget
+	// Drain is the state of a planned stop.
+	Drain Drain
 	// Incarnation is the random ID of this run of the process.
 	Incarnation tarragonwell.Incarnation
 	Started     time.Time
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -82,6 +83,8 @@
 // servers are the HTTP servers for callers, peers and operators.
 type servers struct {
 	callers *http.Server
+	// endCalls ends the calls in progress.
+	endCalls context.CancelCauseFunc
 	// callerListener is closed before callers, which would not accept the connections
 	// in its backlog.
 	callerListener net.Listener
@@ -112,7 +115,9 @@
 	if i.operations != nil {
 		peerServer.Operations = i.operations
 	}
+	callsCtx, endCalls := context.WithCancelCause(context.Background())
 	s := &servers{
+		endCalls: endCalls,
 		callers: caller.NewServer(caller.Options{
 			Common:         i.common,
 			Dialect:        i.adapters.Callers,
@@ -120,6 +125,7 @@
 			CurrentRouting: i.routing,
 			RoutingReady:   i.bootstrapped,
 			Leaving:        i.leaving.Load,
+			Context:        callsCtx,
 		}).HTTP(),
 		callerListener: l.callers,
 		peers: &http.Server{
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/control"
 	"github.com/tarragonwell/tarragonwell/internal/peer"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -16,6 +17,9 @@
 	// drainShare is the part of the drain limit after which the instance exits by
 	// itself, so that it isn't killed when the limit is reached.
 	drainShare = 0.95
+	// answerShare is the part of the drain limit after which the calls in progress are
+	// ended, so that they are answered before the exit.
+	answerShare = 0.92
 	// lingerTime is how long peers are served after the hand-over, so that they learn
 	// which instance has taken over the operations.
 	lingerTime = 1500 * time.Millisecond
@@ -24,8 +28,12 @@
 // shutDown drains and stops the instance within the drain limit. It clears readiness,
 // gives the external load balancer time to notice, hands over the operations, waits
 // for the requests in flight, announces that the instance has stopped, serves peers for
-// lingerTime and then closes the servers. Requests that outlast the limit are cut off.
+// lingerTime and then closes the servers. Calls that would outlast the limit are not begun,
+// and those that do are answered before it.
 func (i *Instance) shutDown(s *servers) {
+	callsEnd := time.Duration(float64(i.common.Settings.DrainLimit) * answerShare)
+	i.common.Drain.Begin(i.common.Clock.Now().Add(callsEnd))
+	defer time.AfterFunc(callsEnd, func() { s.endCalls(common.ErrStopping) }).Stop()
 	i.ready.Store(false)
 	i.leaving.Store(true)
 	i.peers.SetState(tarragonwell.MemberLeaving)
@@ -53,6 +61,7 @@
 	for _, x := range s.all() {
 		_ = x.Close()
 	}
+	s.endCalls(common.ErrStopping)
 }
 
 // handOver transfers the operations that the instance holds: those of its own
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -47,6 +47,7 @@
 	if c.Service == nil {
 		c.Service = dr.options.ServiceRule
 	}
+	c.Deadline = dr.options.Common.Drain.Bound(c.Deadline)
 	d := &dispatch{
 		dispatcher: dr,
 		call:       c,
@@ -100,6 +101,7 @@
 		CallerTimeLeft: d.call.CallerTimeLeft,
 		Exclude:        d.tried,
 		Retry:          d.attempts > 0,
+		MustFinish:     d.dispatcher.options.Common.Drain.Begun(),
 	}
 }
 
@@ -193,6 +195,10 @@
 	}
 	result := d.failedResult(r.Reason, cause)
 	result.RetryAfter = max(result.RetryAfter, r.RetryAfter)
+	if r.Reason == scheduling.ReasonDeadline && d.dispatcher.options.Common.Drain.Begun() {
+		// Another instance may have the time that this one lacks.
+		result.RetryAfter = notRunRetryAfter
+	}
 	return result
 }
 
--- a/internal/service/lease.go
+++ b/internal/service/lease.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
@@ -100,6 +102,12 @@
 // the task, because the context or the task has ended. If the caller disconnected, the
 // reason is not sent.
 func rejectionWithoutDecision(ctx context.Context) *scheduling.Rejection {
+	if errors.Is(context.Cause(ctx), common.ErrStopping) {
+		return &scheduling.Rejection{
+			Reason:     common.ErrStopping.Error(),
+			RetryAfter: notRunRetryAfter,
+		}
+	}
 	if ctx.Err() != nil {
 		return &scheduling.Rejection{
 			Reason: scheduling.ReasonDeadline,
--- a/internal/target/send.go
+++ b/internal/target/send.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"time"
 
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/control"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
@@ -83,6 +84,8 @@
 		e.Reason = "the deadline passed before the call was sent"
 	case errors.Is(err, context.DeadlineExceeded):
 		e.Reason = "the target did not answer in time"
+	case errors.Is(err, common.ErrStopping):
+		e.Reason = "the instance stops"
 	case errors.Is(err, context.Canceled):
 		// The caller left, or a hedged attempt was faster and this error is discarded.
 		e.Reason = "the caller left"
--- a/pkg/tarragonwell/scheduling/decision.go
+++ b/pkg/tarragonwell/scheduling/decision.go
@@ -27,6 +27,10 @@
 	// the instance is below its fair share, and its maximum utilization is at most
 	// hedgeMaxUtilization.
 	SpareCapacityOnly bool
+	// MustFinish is set while the instance stops, when a call that is still in progress at
+	// the deadline is cut off. The request is rejected if the call would most likely not
+	// end by then, even if a target is free.
+	MustFinish bool
 }
 
 // Grant assigns a target to a new or queued request.
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -122,6 +122,9 @@
 	if !now.Before(r.Deadline) {
 		return reject(r.ID, ReasonDeadline, 0)
 	}
+	if r.MustFinish && now.Add(s.expectedTime(r.Kind)).After(r.Deadline) {
+		return reject(r.ID, ReasonDeadline, 0)
+	}
 	if r.Retry {
 		if !s.retries.TryWithdraw() {
 			return reject(r.ID, ReasonRetryBudget, 0)
--- a/pkg/tarragonwell/scheduling/stats.go
+++ b/pkg/tarragonwell/scheduling/stats.go
@@ -130,6 +130,15 @@
 	return time.Duration(s.stats(k).tailLatency.value)
 }
 
+// expectedTime returns the requiredTime of a kind or, before its first call, its latency
+// objective.
+func (s *Scheduler) expectedTime(k *tarragonwell.Kind) time.Duration {
+	if t := s.requiredTime(k); t > 0 {
+		return t
+	}
+	return k.LatencyObjective
+}
+
 // estimatedWait returns the estimated queueing time of a new call; 0 if the rate of
 // grants to queued calls is not known yet.
 func (s *Scheduler) estimatedWait(p *admission.PendingCall) time.Duration {
