--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -119,7 +119,7 @@
 	defaultMaxRequestBodyBytes    = 1 << 20
 	defaultMaxTotalRequestBytes   = 64 << 20
 	defaultMaxResponseBufferBytes = 256 << 10
-	defaultMaxTotalResponseBytes  = 32 << 20
+	defaultMaxTotalResponseBytes  = 16 << 20
 	defaultMaxTickets             = 200_000
 	defaultMaxOperationBytes      = 32 << 20
 	defaultAuditRecords           = 4096
