Write a buffered response and its header with one write

The bound of all buffered responses made their body a plain reader, so net/http flushed the header by itself and copied the body through a buffer of its own: a further write and a copy for each response. The buffer now writes itself, as the reader before it did.

TestResponseBuffer checks the buffer with and without length, beyond its limit and its budget, and that all memory is returned.

--- a/internal/service/response_buffer.go
+++ b/internal/service/response_buffer.go
@@ -90,6 +90,13 @@
 	return n, err
 }
 
+// WriteTo implements io.WriterTo. With it, the header and the body of a short response to a
+// caller need one write to its connection.
+func (b *responseBuffer) WriteTo(w io.Writer) (int64, error) {
+	defer b.release()
+	return b.blocks.WriteTo(w)
+}
+
 // Close implements io.Closer.
 func (b *responseBuffer) Close() error {
 	b.release()
--- /dev/null
+++ b/internal/service/response_buffer_test.go
@@ -0,0 +1,87 @@
+package service
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+)
+
+// TestResponseBuffer checks which bodies are buffered whole, that the part of the others
+// that was read is not lost, and that all memory is returned, however the body is read.
+func TestResponseBuffer(t *testing.T) {
+	const limit = 100 << 10
+	for _, x := range []struct {
+		name   string
+		size   int
+		length int64
+		budget int64
+		ended  bool
+	}{
+		{
+			name:   "empty",
+			length: 0,
+			ended:  true,
+		},
+		{
+			name:   "empty without length",
+			length: -1,
+			ended:  true,
+		},
+		{
+			name:   "with length",
+			size:   70 << 10,
+			length: 70 << 10,
+			ended:  true,
+		},
+		{
+			name:   "without length",
+			size:   70 << 10,
+			length: -1,
+			ended:  true,
+		},
+		{
+			name:   "beyond the limit",
+			size:   limit + 1,
+			length: limit + 1,
+		},
+		{
+			name:   "beyond the budget",
+			size:   70 << 10,
+			length: 70 << 10,
+			budget: 40 << 10,
+		},
+	} {
+		for _, read := range []func(*responseBuffer, io.Writer) (int64, error){
+			func(b *responseBuffer, w io.Writer) (int64, error) { return io.Copy(w, b) },
+			func(b *responseBuffer, w io.Writer) (int64, error) { return io.Copy(w, iotest.OneByteReader(b)) },
+		} {
+			content := strings.Repeat("x", x.size)
+			budget := &common.ByteBudget{
+				Limit: x.budget,
+			}
+			b := &responseBuffer{
+				budget: budget,
+			}
+			body := strings.NewReader(content)
+			ended, err := b.fill(iotest.HalfReader(body), x.length, limit)
+			if got, want := ended, x.ended; got != want || err != nil {
+				t.Errorf("%s: got ended %v and error %v, want %v and none", x.name, got, err, want)
+			}
+			var out bytes.Buffer
+			if _, err := read(b, &out); err != nil {
+				t.Errorf("%s: %v", x.name, err)
+			}
+			if got, want := out.Len()+body.Len(), x.size; got != want {
+				t.Errorf("%s: got %d bytes read and left, want %d", x.name, got, want)
+			}
+			if got, want := budget.Reserved(), int64(0); got != want {
+				t.Errorf("%s: got %d bytes reserved at the end, want %d", x.name, got, want)
+			}
+			_ = b.Close()
+		}
+	}
+}
