Tidy up after reading the change as a newcomer

- Whether a planned stop has begun stood twice, in the instance and in common.Drain; the server for callers now asks the latter.
No decision changes: both were set one after the other.
- newsIsOld is reportsAreStale, in the words of the code around it.
- heapBytes stood in two test packages; both use hostile.HeapBytes.

Left: the fixtures of stop_test.go and operation_test.go are alike in shape only.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -46,9 +46,6 @@
 	// requests wait for it, at most until startupWait after the start of the
 	// instance. If it is nil, they wait until then.
 	RoutingReady <-chan struct{}
-	// Leaving reports whether the instance has begun a graceful stop. HTTP/1.1
-	// connections are then closed after the next response.
-	Leaving func() bool
 	// Context ends all calls in progress, which are then answered; nil for none.
 	Context context.Context
 }
@@ -116,7 +113,8 @@
 // proxy routes a request to a service according to the rules file. It handles all
 // requests outside the ticket API.
 func (s *Server) proxy(w http.ResponseWriter, r *http.Request) {
-	if s.options.Leaving() {
+	if s.options.Common.Drain.Begun() {
+		// The caller opens its next connection to another instance.
 		w.Header().Set("Connection", "close")
 	}
 	arrived := s.options.Common.Clock.Now()
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -60,7 +60,6 @@
 			Clock:   common.SystemClock{},
 		},
 		CurrentRouting: func() *Routing { return routing },
-		Leaving:        func() bool { return false },
 	})
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -70,8 +70,6 @@
 	reconciler *reconciler
 	// operations is nil if tickets are not enabled.
 	operations *operations.Operations
-	// leaving is set from the start of the shutdown.
-	leaving atomic.Bool
 	// ready is the state of the readiness check.
 	ready atomic.Bool
 	// bootstrapped is closed when the initial sync is complete. No call is accepted
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -124,7 +124,6 @@
 			Operations:     i.operations,
 			CurrentRouting: i.routing,
 			RoutingReady:   i.bootstrapped,
-			Leaving:        i.leaving.Load,
 			Context:        callsCtx,
 		}).HTTP(),
 		callerListener: l.callers,
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -35,7 +35,6 @@
 	i.common.Drain.Begin(i.common.Clock.Now().Add(callsEnd))
 	defer time.AfterFunc(callsEnd, func() { s.endCalls(common.ErrStopping) }).Stop()
 	i.ready.Store(false)
-	i.leaving.Store(true)
 	i.peers.SetState(tarragonwell.MemberLeaving)
 	i.common.RecordChange(tarragonwell.AuditRecord{
 		Event:      "instance-leaving",
--- a/internal/service/hostile_test.go
+++ b/internal/service/hostile_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -122,13 +121,13 @@
 				o.ServiceRule.Slots = 2 * callers
 				o.ServiceRule.Connections = 2 * callers
 			}, address)
-			before := heapBytes()
+			before := hostile.HeapBytes()
 			var peak uint64
 			ctx, stop := context.WithCancel(f.ctx)
 			var sampling, running sync.WaitGroup
 			sampling.Go(func() {
 				for ctx.Err() == nil {
-					peak = max(peak, heapBytes())
+					peak = max(peak, hostile.HeapBytes())
 					time.Sleep(10 * time.Millisecond)
 				}
 			})
@@ -154,11 +153,3 @@
 		})
 	}
 }
-
-// heapBytes returns the bytes on the heap that are in use.
-func heapBytes() uint64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/target/hostile_test.go
+++ b/internal/target/hostile_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"runtime"
 	"testing"
 	"time"
 
@@ -44,13 +43,6 @@
 	return address
 }
 
-func heapBytes() uint64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 // TestHostileResponses checks that a call whose response never ends, or is none, ends by
 // its deadline, with little memory, and that it is never complete with bytes that do not
 // belong to its body.
@@ -58,7 +50,7 @@
 	for m := range hostile.Modes {
 		t.Run(m.String(), func(t *testing.T) {
 			cl := newClient(t, startHostile(t, m, ownResponse))
-			before := heapBytes()
+			before := hostile.HeapBytes()
 			begin := time.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), hostileDeadline)
 			defer cancel()
@@ -82,7 +74,7 @@
 			if got, want := time.Since(begin), hostileDeadline+hostileGrace; got > want {
 				t.Errorf("ended after %v, want at most %v", got, want)
 			}
-			if after := heapBytes(); after > before+maxHostileBytes {
+			if after := hostile.HeapBytes(); after > before+maxHostileBytes {
 				t.Errorf("got %d bytes more on the heap, want at most %d", after-before, maxHostileBytes)
 			}
 		})
--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -61,8 +61,8 @@
 	// reportedSlowdownDecay is the time constant with which a reported slowdown decays
 	// towards the mean. Slow periods are short.
 	reportedSlowdownDecay = 120 * time.Millisecond
-	// maxIdleReportAge is the age from which on load reports are old news to an instance
-	// that has no calls in flight.
+	// maxIdleReportAge is the age at which load reports are stale for an instance that has
+	// no calls in flight.
 	maxIdleReportAge = 500 * time.Millisecond
 	// warmUpPenalty is added to the cost of a target until the end of its warm-up, if
 	// the service's targets report slowdowns. 1 weighs as much as a machine at half
@@ -97,7 +97,7 @@
 	if p.collect(targets, responsive) == 0 {
 		return p.fewestInFlight(targets)
 	}
-	if newsIsOld(now, targets) && p.collect(targets, responsive) > 0 {
+	if reportsAreStale(now, targets) && p.collect(targets, responsive) > 0 {
 		return p.bestOfSample(now, in, targets)
 	}
 	if !in.BelowFairShare || p.collect(targets, func(t *tarragonwell.TargetState) bool {
@@ -147,10 +147,10 @@
 	return best
 }
 
-// newsIsOld reports whether the instance has no calls in flight at any of the targets and
+// reportsAreStale reports whether the instance has no calls in flight at any of the targets and
 // none has reported its load within maxIdleReportAge. Some call has to be sent then: the
 // estimates would stay as they are for good, and with them the decision to queue calls.
-func newsIsOld(now time.Time, targets []*tarragonwell.TargetState) bool {
+func reportsAreStale(now time.Time, targets []*tarragonwell.TargetState) bool {
 	for _, t := range targets {
 		if t.InFlight > 0 || now.Sub(t.LoadReportedAt) < maxIdleReportAge {
 			return false
