--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -56,8 +56,6 @@
 	dialect      tarragonwell.CallerDialect
 	nextCallID   atomic.Uint64
 	callIDPrefix string
-	// requestBytes bounds the bodies of the requests in flight.
-	requestBytes common.ByteBudget
 }
 
 // NewServer returns a server with the given options.
@@ -69,9 +67,6 @@
 		options:      o,
 		dialect:      o.Dialect,
 		callIDPrefix: hex.EncodeToString(o.Common.Incarnation[:6]),
-		requestBytes: common.ByteBudget{
-			Limit: o.Common.Settings.MaxTotalRequestBytes,
-		},
 	}
 }
 
@@ -182,10 +177,11 @@
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength)
 	}
-	if !s.requestBytes.Reserve(size) {
+	budget := &s.options.Common.RequestBytes
+	if !budget.Reserve(size) {
 		return nil, false
 	}
-	return func() { s.requestBytes.Release(size) }, true
+	return func() { budget.Release(size) }, true
 }
 
 // bodyLimit returns the limit on a request's body: that of the rules or, if they
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -49,16 +49,18 @@
 	routing := NewRouting(set, map[string]tarragonwell.Dispatcher{
 		"s": d,
 	}, m)
-	return NewServer(Options{
-		Common: &common.Dependencies{
-			Settings: &settingsfile.Settings{
-				MaxRequestBodyBytes:  100,
-				MaxTotalRequestBytes: 150,
-			},
-			Log:     l,
-			Metrics: m,
-			Clock:   common.SystemClock{},
+	c := &common.Dependencies{
+		Settings: &settingsfile.Settings{
+			MaxRequestBodyBytes:  100,
+			MaxTotalRequestBytes: 150,
 		},
+		Log:     l,
+		Metrics: m,
+		Clock:   common.SystemClock{},
+	}
+	c.SetBudgets(c.Settings)
+	return NewServer(Options{
+		Common:         c,
 		CurrentRouting: func() *Routing { return routing },
 	})
 }
@@ -94,7 +96,7 @@
 	if got, want := w.Header().Get("Retry-After"), "2"; got != want {
 		t.Errorf("retry after: got %q, want %q", got, want)
 	}
-	if got, want := s.requestBytes.Reserved(), int64(0); got != want {
+	if got, want := s.options.Common.RequestBytes.Reserved(), int64(0); got != want {
 		t.Errorf("buffered bytes afterwards: got %d, want %d", got, want)
 	}
 }
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -26,8 +26,17 @@
 	Metrics    *metrics.Set
 	Audit      tarragonwell.AuditSink
 	Clock      tarragonwell.Clock
+	// Memory bounds all memory that is held for callers and targets. The budgets below are
+	// its parts.
+	Memory ByteBudget
+	// RequestBytes bounds the bodies of the requests in flight.
+	RequestBytes ByteBudget
+	// HeadBytes bounds the request heads that are being read or are in flight.
+	HeadBytes ByteBudget
 	// ResponseBytes bounds the buffered responses of all services.
 	ResponseBytes ByteBudget
+	// ConnectionBytes bounds what connections take by themselves.
+	ConnectionBytes ByteBudget
 	// Drain is the state of a planned stop.
 	Drain Drain
 	// Incarnation is the random ID of this run of the process.
@@ -81,6 +90,16 @@
 	return logger.With("instance", instance), nil
 }
 
+// SetBudgets sets the limits of the memory budgets from the settings. It must be called
+// before they are used.
+func (c *Dependencies) SetBudgets(s *settingsfile.Settings) {
+	c.RequestBytes.Limit = s.MaxTotalRequestBytes
+	c.ResponseBytes.Limit = s.MaxTotalResponseBytes
+	for _, part := range []*ByteBudget{&c.RequestBytes, &c.HeadBytes, &c.ResponseBytes, &c.ConnectionBytes} {
+		part.Parent = &c.Memory
+	}
+}
+
 // RoutineLogger returns the logger for lines on successful calls.
 func (c *Dependencies) RoutineLogger() *log.Logger {
 	if c.RoutineLog == nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -90,10 +90,8 @@
 		Metrics:    metrics.NewSet(),
 		Clock:      common.SystemClock{},
 		Started:    time.Now(),
-		ResponseBytes: common.ByteBudget{
-			Limit: s.MaxTotalResponseBytes,
-		},
 	}
+	c.SetBudgets(s)
 	_, _ = rand.Read(c.Incarnation[:])
 	i := &Instance{
 		common:       c,
