Give a load probe a deadline of its own on its connection

Cause: a call sets its deadline on the connection that it uses, where it stays. A probe on the same connection set none, so that it failed once that deadline had passed; the connection was closed and the target counted as failing. Change: a probe sets its own deadline. Calls, hedges, retries and resumed downloads do so already; connections to peers and to the platform have none.

--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -218,10 +219,23 @@
 	})
 }
 
+// withProbeDeadline returns a context that sets its deadline on the connection that a probe
+// uses: that of the call before, which the connection still has, is usually over.
+func withProbeDeadline(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			deadline, ok := ctx.Deadline()
+			if c, tracked := info.Conn.(*trackedConn); tracked && ok {
+				c.setCallDeadline(deadline, time.Time{})
+			}
+		},
+	})
+}
+
 func (cl *Client) fetchLoad(ctx context.Context) (tarragonwell.ProbeResponse, error) {
 	var none tarragonwell.ProbeResponse
 	url := "http://" + cl.options.Listed.Address + cl.dialect.ProbePath(cl.options.Service)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(withProbeDeadline(ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return none, eris.Wrap(ErrProbe, err.Error())
 	}
