Probe until a lightly loaded target is found that no other call takes

Cause: with targets of two slots, one with a call in progress counted as lightly loaded, a third of the calls was placed beside another one; two calls at once relied on the same probe; and targets without recent reports were estimated by the mean over targets that had been chosen for being fast. Change: at most two thirds of the slots may be in use with the new call (the same as before with three and six slots); targets with fewer than four slots get up to twice as many probes; a call whose target was taken probes further; the mean slowdown is that of probes. The limiter of the probes is passed the time.

--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -62,11 +62,8 @@
 
 // tryOnce makes one attempt and reports whether the call has ended.
 func (d *dispatch) tryOnce(ctx context.Context) (tarragonwell.Result, bool) {
-	if d.call.Service.PlacementProbes > 0 {
-		d.dispatcher.probeForPlacement(ctx, d.request())
-	}
 	// The service's task rejects calls that would miss their deadline in the queue.
-	l, rejection := d.dispatcher.acquire(ctx, d.request())
+	l, rejection := d.place(ctx)
 	if rejection != nil {
 		d.dispatcher.metrics.rejected.Inc()
 		d.logRejected(rejection)
--- a/internal/service/placement_probe.go
+++ b/internal/service/placement_probe.go
@@ -15,12 +15,25 @@
 // available.
 const placementProbeTimeout = 12 * time.Millisecond
 
-// probeForPlacement sends placement probes to a few targets, so that the target for a
-// call is selected based on current load reports. If none of the probed targets is a
-// good choice, further rounds probe a few more.
-func (dr *Dispatcher) probeForPlacement(ctx context.Context, r scheduling.AcquireRequest) {
-	for round := 0; dr.placementProbeRound(ctx, r, round); round++ {
+// place leases a target for the next attempt. It sends placement probes in rounds until one
+// finds a lightly loaded target that no other call takes first. If none does, the target is
+// selected by the load data available.
+func (d *dispatch) place(ctx context.Context) (*lease, *scheduling.Rejection) {
+	dr := d.dispatcher
+	if d.call.Service.PlacementProbes == 0 {
+		return dr.acquire(ctx, d.request())
 	}
+	probed := true
+	for round := 0; probed; round++ {
+		probed = dr.placementProbeRound(ctx, d.request(), round)
+		r := d.request()
+		r.LightlyLoadedOnly = true
+		l, rejection := dr.acquire(ctx, r)
+		if rejection == nil || rejection.Reason != scheduling.ReasonBusy {
+			return l, rejection
+		}
+	}
+	return dr.acquire(ctx, d.request())
 }
 
 // placementProbeRound probes some targets and returns when all have responded or
--- a/pkg/tarragonwell/scheduling/decision.go
+++ b/pkg/tarragonwell/scheduling/decision.go
@@ -31,6 +31,10 @@
 	// the deadline is cut off. The request is rejected if the call would most likely not
 	// end by then, even if a target is free.
 	MustFinish bool
+	// LightlyLoadedOnly is set while further targets can be probed for the call. The request
+	// is rejected, without an effect on any budget, unless a recently probed target is
+	// lightly loaded: another call may have taken the one that the probes found.
+	LightlyLoadedOnly bool
 }
 
 // Grant assigns a target to a new or queued request.
--- a/pkg/tarragonwell/scheduling/placement_probe.go
+++ b/pkg/tarragonwell/scheduling/placement_probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -22,9 +23,15 @@
 	// placementProbeBatch is the number of targets that are probed in a round.
 	placementProbeBatch = 2
 	// lightLoadReportedSlowdown and lightLoadUtilization are the maximum reported
-	// slowdown and the maximum share of used slots of a lightly loaded target.
+	// slowdown of a lightly loaded target, and the maximum share of its slots that are in
+	// use once it has the call. With two slots, both have to be free: a second call there
+	// takes nearly twice as long.
 	lightLoadReportedSlowdown = 1.2
-	lightLoadUtilization      = 0.5
+	lightLoadUtilization      = 0.67
+	// fewSlots is the number of slots below which more targets are probed for a call, as
+	// each is less likely to have a free one; at most maxProbeFactor times as many.
+	fewSlots       = 4
+	maxProbeFactor = 2
 	// queueProbeInterval is the time between two rounds of placement probes for
 	// queued calls.
 	queueProbeInterval = 20 * time.Millisecond
@@ -41,8 +48,26 @@
 		return
 	}
 	probesPerSecond := service.ProbeBudget * float64(len(s.targets)) / float64(max(1, s.options.BudgetDivisor))
-	s.placementProbeLimiter.SetLimit(rate.Limit(probesPerSecond))
-	s.placementProbeLimiter.SetBurst(max(service.PlacementProbes, int(probesPerSecond*placementProbeBurstTime.Seconds())))
+	s.placementProbeRate = rate.Limit(probesPerSecond)
+	s.placementProbeBurst = max(service.PlacementProbes, int(probesPerSecond*placementProbeBurstTime.Seconds()))
+}
+
+// applyPlacementProbeLimits makes placementProbeLimiter use the configured limits.
+func (s *Scheduler) applyPlacementProbeLimits(now time.Time) {
+	l := s.placementProbeLimiter
+	if l.Limit() != s.placementProbeRate {
+		l.SetLimitAt(now, s.placementProbeRate)
+	}
+	if l.Burst() != s.placementProbeBurst {
+		l.SetBurstAt(now, s.placementProbeBurst)
+	}
+}
+
+// allowPlacementProbe takes one probe from the instance's share of the probe budget. It
+// reports whether there was one.
+func (s *Scheduler) allowPlacementProbe(now time.Time) bool {
+	s.applyPlacementProbeLimits(now)
+	return s.placementProbeLimiter.AllowN(now, 1)
 }
 
 // PlacementProbeTargets returns the IDs of the targets to probe for their load
@@ -51,7 +76,7 @@
 // From round 1 on, for kinds with CrossDataCenter, targets of other data centres
 // are probed if the nearest targets, normally the local ones, are nearly full.
 func (s *Scheduler) PlacementProbeTargets(now time.Time, r AcquireRequest, round int) []string {
-	limit := min(placementProbeBatch, s.options.ServiceRule.PlacementProbes-round*placementProbeBatch)
+	limit := min(placementProbeBatch, s.maxPlacementProbes()-round*placementProbeBatch)
 	if limit <= 0 {
 		return nil
 	}
@@ -70,6 +95,17 @@
 	return s.sampleTargets(now, targets, limit)
 }
 
+// maxPlacementProbes returns the number of targets that may be probed before a call is placed.
+func (s *Scheduler) maxPlacementProbes() int {
+	probes := s.options.ServiceRule.PlacementProbes
+	if len(s.targets) == 0 {
+		return probes
+	}
+	slotsPerTarget := float64(s.totalSlots()) / float64(len(s.targets))
+	factor := min(maxProbeFactor, max(1, fewSlots/slotsPerTarget))
+	return int(factor * float64(probes))
+}
+
 // nearlyFull reports whether any of the targets were probed recently and one more
 // call would take each of those above the overflow utilization. It returns false if
 // overflow is disabled.
@@ -104,10 +140,8 @@
 // and without those that were probed recently. It returns none if one of the
 // targets is lightly loaded.
 func (s *Scheduler) sampleTargets(now time.Time, targets []*tarragonwell.TargetState, limit int) []string {
-	for _, t := range targets {
-		if s.lightlyLoaded(now, t) {
-			return nil
-		}
+	if s.anyLightlyLoaded(now, targets) {
+		return nil
 	}
 	var sample []string
 	for _, i := range rand.Perm(len(targets)) {
@@ -115,7 +149,7 @@
 		if now.Sub(t.PlacementProbedAt) < placementProbeTTL {
 			continue
 		}
-		if len(sample) >= limit || !s.placementProbeLimiter.AllowN(now, 1) {
+		if len(sample) >= limit || !s.allowPlacementProbe(now) {
 			break
 		}
 		sample = append(sample, t.ID)
@@ -123,17 +157,26 @@
 	return sample
 }
 
+// anyLightlyLoaded reports whether any of the targets is lightly loaded.
+func (s *Scheduler) anyLightlyLoaded(now time.Time, targets []*tarragonwell.TargetState) bool {
+	return slices.ContainsFunc(targets, func(t *tarragonwell.TargetState) bool { return s.lightlyLoaded(now, t) })
+}
+
 // lightlyLoaded reports whether a recently probed target is neither slow nor
 // busy, so that probing others would gain little.
 func (s *Scheduler) lightlyLoaded(now time.Time, t *tarragonwell.TargetState) bool {
-	return now.Sub(t.PlacementProbedAt) < placementProbeTTL && t.ReportedSlowdown <= lightLoadReportedSlowdown && t.TotalCalls() <= lightLoadUtilization*float64(t.Slots)
+	recent := now.Sub(t.PlacementProbedAt) < placementProbeTTL
+	utilization := (t.TotalCalls() + 1) / float64(t.Slots)
+	return recent && t.ReportedSlowdown <= lightLoadReportedSlowdown && utilization <= lightLoadUtilization
 }
 
 // RecordPlacementProbe records the load report in a target's response to a
-// placement probe.
+// placement probe. The targets to probe are drawn at random, so the mean of their slowdowns
+// holds for all targets. Responses to calls come from targets that were chosen for being fast.
 func (s *Scheduler) RecordPlacementProbe(now time.Time, id string, load tarragonwell.LoadReport) {
 	s.RecordLoad(now, id, load)
 	if t := s.find(id); t != nil {
 		t.PlacementProbedAt = now
+		s.recordMeanSlowdown(load)
 	}
 }
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -216,7 +216,9 @@
 	}
 	if load.SlowdownPercent > 0 {
 		t.ReportedSlowdown = float64(load.SlowdownPercent) / percent
-		s.meanReportedSlowdown = smooth(s.meanReportedSlowdown, t.ReportedSlowdown, meanReportSmoothing)
+	}
+	if s.options.ServiceRule.PlacementProbes == 0 {
+		s.recordMeanSlowdown(load)
 	}
 	t.ExternalCalls = math.Max(0, float64(load.Total()-t.InFlight))
 	t.LoadReportedAt = now
@@ -228,6 +230,13 @@
 	}
 }
 
+// recordMeanSlowdown adds a report to the mean of all reported slowdowns.
+func (s *Scheduler) recordMeanSlowdown(load tarragonwell.LoadReport) {
+	if load.SlowdownPercent > 0 {
+		s.meanReportedSlowdown = smooth(s.meanReportedSlowdown, float64(load.SlowdownPercent)/percent, meanReportSmoothing)
+	}
+}
+
 // CountProbe counts a load probe of a target.
 func (s *Scheduler) CountProbe(id string) {
 	if t := s.find(id); t != nil {
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -46,8 +46,12 @@
 	retries admission.RetryBudget
 	// placementProbeLimiter keeps placement probes within the probe budget.
 	placementProbeLimiter *rate.Limiter
-	lastQueueProbe        time.Time
-	kinds                 map[string]*kindStats
+	// placementProbeRate and placementProbeBurst are the limits of placementProbeLimiter
+	// from its next use on.
+	placementProbeRate  rate.Limit
+	placementProbeBurst int
+	lastQueueProbe      time.Time
+	kinds               map[string]*kindStats
 	// inFlight is the number of attempts in flight at all targets, including removed
 	// ones. A call that is hedged counts twice.
 	inFlight int
@@ -59,8 +63,8 @@
 	meanExternalCalls float64
 	// meanRemoteExternalCalls is the same for targets of other data centres.
 	meanRemoteExternalCalls float64
-	// meanReportedSlowdown is the smoothed mean of all reported slowdowns; 0 before
-	// the first report.
+	// meanReportedSlowdown is the smoothed mean of the slowdowns in the responses to
+	// placement probes or, without these, of all reported ones; 0 before the first report.
 	meanReportedSlowdown float64
 	// shortDemand is the demand of short calls, which long calls leave room for.
 	shortDemand demandMeter
@@ -125,6 +129,12 @@
 	if r.MustFinish && now.Add(s.expectedTime(r.Kind)).After(r.Deadline) {
 		return reject(r.ID, ReasonDeadline, 0)
 	}
+	if r.LightlyLoadedOnly && !s.anyLightlyLoaded(now, s.eligibleTargets(now, &admission.PendingCall{
+		Kind:    r.Kind,
+		Exclude: r.Exclude,
+	})) {
+		return reject(r.ID, ReasonBusy, 0)
+	}
 	if r.Retry {
 		if !s.retries.TryWithdraw() {
 			return reject(r.ID, ReasonRetryBudget, 0)
--- a/pkg/tarragonwell/scheduling/starvation_test.go
+++ b/pkg/tarragonwell/scheduling/starvation_test.go
@@ -80,7 +80,7 @@
 				ServingInstanceCount: 4,
 			})
 			s.SetTargets(time.Now(), targetList(x.targets))
-			// The probe budget fills up from the real time of the call before on.
+			// The probe budget fills up from the time of the list on.
 			begin := time.Now()
 			refuseAll(s, begin)
 			placed := time.Duration(-1)
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -40,6 +40,7 @@
 	}
 	s.orderTargets()
 	s.configurePlacementProbes()
+	s.applyPlacementProbeLimits(now)
 	return joined, left
 }
 
