Let settings be replaced on the command line of serve

Cause: the platform fills placeholders into the settings file and into the command line. A template is also filled by others, which know only the placeholders that it has had so far. Errors name the override.

--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -20,9 +20,11 @@
 
 // reloader applies changed settings to a running instance. One goroutine owns it.
 type reloader struct {
-	path     string
-	instance *instance.Instance
-	log      *log.Logger
+	path string
+	// overrides replace settings of the file.
+	overrides []string
+	instance  *instance.Instance
+	log       *log.Logger
 	// modified and size are those of the file at the last check.
 	modified time.Time
 	size     int64
@@ -74,7 +76,7 @@
 			err = eris.Errorf("panic: %v", x)
 		}
 	}()
-	return settingsfile.Load(r.path)
+	return settingsfile.Load(r.path, r.overrides...)
 }
 
 // reload applies the settings in the file. If they are invalid, the instance keeps
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -15,7 +15,8 @@
 
 // serveCommand runs one instance.
 type serveCommand struct {
-	Settings string `help:"The settings file of the instance." required:"" type:"path" placeholder:"FILE"`
+	Settings string   `help:"The settings file of the instance." required:"" type:"path" placeholder:"FILE"`
+	Set      []string `help:"Replace a setting of the file, as in limits.operations=1000. Without a value, the setting of the file stays." sep:"none" placeholder:"KEY=VALUE"`
 }
 
 // runInBackground runs a function in a goroutine. The function that it returns ends
@@ -49,7 +50,7 @@
 
 // Run implements the command.
 func (c *serveCommand) Run(o *Output) error {
-	s, err := settingsfile.Load(c.Settings)
+	s, err := settingsfile.Load(c.Settings, c.Set...)
 	if err != nil {
 		return errors.Join(errUsage, err)
 	}
@@ -69,9 +70,10 @@
 	l.Info("starting", "callers", s.CallerListenAddress, "peers", s.PeerListenAddress, "operators", s.OperatorListenAddress, "version", version())
 	i := instance.New(s, l, routineLog, adapters(s))
 	r := &reloader{
-		path:     c.Settings,
-		instance: i,
-		log:      l,
+		path:      c.Settings,
+		overrides: c.Set,
+		instance:  i,
+		log:       l,
 	}
 	defer runInBackground(r.run)()
 	if err := i.Run(ctx); err != nil {
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -4,9 +4,12 @@
 import (
 	"errors"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonwell/tarragonwell/internal/yamldoc"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
@@ -131,39 +134,73 @@
 // *yamldoc.FieldError.
 var ErrInvalid = eris.New("invalid settings")
 
-// Load reads and validates a file.
-func Load(path string) (*Settings, error) {
+// Load reads and validates a file, with the overrides of Parse.
+func Load(path string, overrides ...string) (*Settings, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "read settings")
 	}
-	return Parse(path, content)
+	return Parse(path, content, overrides...)
 }
 
-// Parse validates the content of a file. The name appears in errors. It fails
-// with ErrInvalid.
-func Parse(name string, content []byte) (*Settings, error) {
+// Parse validates the content of a file. The name appears in errors. Each override, in the
+// form KEY=VALUE with a key such as limits.request-body-bytes, replaces a setting of the file;
+// without a value it has no effect. Parse fails with ErrInvalid.
+func Parse(name string, content []byte, overrides ...string) (*Settings, error) {
 	var message pb.Settings
 	var d yamldoc.Decoder
-	errs := d.Decode(content, &message)
+	errs := withFile(name, d.Decode(content, &message))
+	for _, o := range overrides {
+		errs = append(errs, override(&message, o)...)
+	}
 	if len(errs) == 0 {
 		c := &yamldoc.Checker{
 			Decoder: &d,
 		}
 		s := convert(&message, c)
-		errs = c.Errs
+		errs = withFile(name, c.Errs)
 		if len(errs) == 0 {
 			return s, nil
 		}
 	}
 	joined := []error{ErrInvalid}
 	for _, e := range errs {
-		e.File = name
 		joined = append(joined, e)
 	}
 	return nil, errors.Join(joined...)
 }
 
+// withFile sets the name of the file in errors.
+func withFile(name string, errs []*yamldoc.FieldError) []*yamldoc.FieldError {
+	for _, e := range errs {
+		e.File = name
+	}
+	return errs
+}
+
+// override applies one override, KEY=VALUE, to a message.
+func override(m *pb.Settings, text string) []*yamldoc.FieldError {
+	key, value, found := strings.Cut(text, "=")
+	if !found || key == "" {
+		return []*yamldoc.FieldError{{
+			File:    "override " + strconv.Quote(text),
+			Message: "want KEY=VALUE",
+		}}
+	}
+	if value == "" {
+		return nil
+	}
+	keys := strings.Split(key, ".")
+	document := "{" + strings.Join(keys, ": {") + ": " + value + strings.Repeat("}", len(keys))
+	var part pb.Settings
+	var d yamldoc.Decoder
+	if errs := d.Decode([]byte(document), &part); len(errs) > 0 {
+		return withFile("override "+strconv.Quote(text), errs)
+	}
+	proto.Merge(m, &part)
+	return nil
+}
+
 func convert(m *pb.Settings, c *yamldoc.Checker) *Settings {
 	s := &Settings{
 		Name:                   m.GetInstance().GetName(),
--- a/pkg/settingsfile/settings_test.go
+++ b/pkg/settingsfile/settings_test.go
@@ -106,3 +106,35 @@
 		}
 	})
 }
+
+// TestParseOverrides guards against an override that replaces more than its own setting, or
+// whose error is not reported.
+func TestParseOverrides(t *testing.T) {
+	s, err := Parse("f", []byte(validSettings), "platform.watch-wait=3s", "limits.operations=7", "log.level=")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.WatchWait, 3*time.Second; got != want {
+		t.Errorf("watch wait: got %v, want %v", got, want)
+	}
+	if got, want := s.MaxTickets, 7; got != want {
+		t.Errorf("operations: got %v, want %v", got, want)
+	}
+	if got, want := s.PlatformAddress, "127.0.0.1:4"; got != want {
+		t.Errorf("setting beside an override: got %v, want %v", got, want)
+	}
+	if got, want := s.LogLevel, "info"; got != want {
+		t.Errorf("override without a value: got %v, want %v", got, want)
+	}
+	for override, want := range map[string]string{
+		"limits":              "want KEY=VALUE",
+		"limits.operation=7":  "unknown field",
+		"limits.operations=x": "limits.operations",
+		"limits=}{":           "override",
+	} {
+		_, err := Parse("f", []byte(validSettings), override)
+		if !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v, want an error with %q", override, err, want)
+		}
+	}
+}
