Merge the drains of data centres into the list, and pass them to peers

Cause: a data centre can be taken out of service only target by target. The drains are to travel with the list of targets, so that its revision covers them. Change: ListChange has the drains in force and those that have ended. Package drains merges them by revision, as the list does with entries; ChangesSince passes them on, and sends the full list to a peer that is behind the retained ends. A list from a peer that does not state covers_drains is not taken: its revision would go past drains that the platform is then not asked for again. Nothing drains a target yet.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -120,6 +120,11 @@
 	if !response.Msg.GetCoversRules() {
 		return none, eris.Wrap(ErrRequestFailed, "the list comes without the rules that belong to it")
 	}
+	if !response.Msg.GetCoversDrains() {
+		// The revision of the list would go past drains that the platform is then not
+		// asked for again.
+		return none, eris.Wrap(ErrRequestFailed, "the list comes without the drains of data centres")
+	}
 	return tarragonwell.PlatformUpdate{
 		Rules: rulesFromProto(response.Msg.GetRules()),
 		List:  listChangeFromProto(response.Msg.GetChange()),
--- a/internal/peer/list.go
+++ b/internal/peer/list.go
@@ -68,9 +68,33 @@
 			State:       listedState(i.Leaving),
 		})
 	}
+	m.Drains = drainsToProto(c.Drains)
+	m.EndedDrains = drainsToProto(c.EndedDrains)
 	return m
 }
 
+func drainsToProto(list []tarragonwell.DataCenterDrain) []*pb.DataCenterDrain {
+	var out []*pb.DataCenterDrain
+	for _, d := range list {
+		out = append(out, &pb.DataCenterDrain{
+			DataCenter: d.DataCenter,
+			Revision:   d.Revision,
+		})
+	}
+	return out
+}
+
+func drainsFromProto(list []*pb.DataCenterDrain) []tarragonwell.DataCenterDrain {
+	var out []tarragonwell.DataCenterDrain
+	for _, d := range list {
+		out = append(out, tarragonwell.DataCenterDrain{
+			DataCenter: d.GetDataCenter(),
+			Revision:   d.GetRevision(),
+		})
+	}
+	return out
+}
+
 // listedState returns the state of a listed instance, as the platform names it.
 func listedState(leaving bool) string {
 	if leaving {
@@ -115,5 +139,7 @@
 			Leaving:     i.GetState() == common.StateLeaving,
 		})
 	}
+	c.Drains = drainsFromProto(m.GetDrains())
+	c.EndedDrains = drainsFromProto(m.GetEndedDrains())
 	return c
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -109,7 +109,8 @@
 		return nil, connect.NewError(connect.CodeNotFound, nil)
 	}
 	response := &pb.FetchListResponse{
-		Change: listChangeToProto(update.List),
+		Change:       listChangeToProto(update.List),
+		CoversDrains: true,
 	}
 	if r.Msg.GetRules() != nil {
 		response.CoversRules = true
--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/drains"
 )
 
 const (
@@ -43,6 +44,8 @@
 	removals []tarragonwell.RemovedTarget
 	// removalsSince is the revision after which removals is complete.
 	removalsSince uint64
+	// drains holds the drains of data centres, as of revision.
+	drains drains.Set
 }
 
 // entry is one target. A removed entry is kept until its grace period is over.
@@ -67,6 +70,11 @@
 	return l.instances
 }
 
+// Drains returns the drains in force, ordered by data centre.
+func (l *Listing) Drains() []tarragonwell.DataCenterDrain {
+	return l.drains.InForce(0)
+}
+
 // Apply applies a change and reports whether the list has changed. ok is false if the
 // change builds on a later revision than the list has. The change is then ignored.
 // confirmedAt is when the list was last confirmed to be up to date; now is used instead
@@ -106,12 +114,14 @@
 		}
 	}
 	l.instances = c.Instances
+	l.drains.Replace(c.Revision, c.Drains)
 	l.removals = nil
 	l.removalsSince = c.Revision
 }
 
 // merge applies the changes since an earlier revision.
 func (l *Listing) merge(now, confirmedAt time.Time, c *tarragonwell.ListChange) {
+	l.drains.Merge(c.Drains, c.EndedDrains)
 	for _, t := range c.Targets {
 		l.put(t)
 	}
@@ -137,6 +147,7 @@
 func (l *Listing) put(t tarragonwell.ListedTarget) {
 	t.ID = t.Identity()
 	t.Delisted = false
+	t.Drained = false
 	e := l.targets[t.ID]
 	if e == nil {
 		l.targets[t.ID] = &entry{
@@ -240,7 +251,7 @@
 		Since:    revision,
 		Revision: l.revision,
 	}
-	if revision < l.removalsSince || revision > l.revision || !l.canComputeChanges() {
+	if revision < max(l.removalsSince, l.drains.EndedSince()) || revision > l.revision || !l.canComputeChanges() {
 		c.Since = 0
 		c.Instances = l.instances
 	}
@@ -249,9 +260,11 @@
 			c.Targets = append(c.Targets, e.target)
 		}
 	}
+	c.Drains = l.drains.InForce(c.Since)
 	if c.Since == 0 {
 		return c
 	}
+	c.EndedDrains = l.drains.Ended(c.Since)
 	for _, r := range l.removals {
 		if r.Revision > revision {
 			c.Removed = append(c.Removed, r)
--- a/pkg/tarragonwell/published.go
+++ b/pkg/tarragonwell/published.go
@@ -19,9 +19,10 @@
 	Invalid []InvalidEntry
 }
 
-// InvalidEntry is an entry of the platform's list that does not describe a usable
-// target. The log event for it is entry-unreadable.
+// InvalidEntry is an entry of the platform's list that describes neither a usable target
+// nor a drain. The log event for it is entry-unreadable.
 type InvalidEntry struct {
+	// ID is the ID of the target, or the whole key if the entry is not that of a target.
 	ID       string
 	Revision uint64
 	// Err describes why the entry is invalid.
@@ -48,6 +49,28 @@
 	Removed []RemovedTarget
 	// Instances replaces the list of instances if the change is a full list.
 	Instances []ListedInstance
+	// Drains holds the drains in force: those that are new or, in a full list, all.
+	Drains []DataCenterDrain
+	// EndedDrains holds the drains that have ended, with the revision of their end.
+	EndedDrains []DataCenterDrain
+}
+
+// DataCenterDrain is the platform's entry that takes a data centre out of service.
+type DataCenterDrain struct {
+	DataCenter string
+	// Revision is the revision at which the entry was written or, if the drain has ended,
+	// removed.
+	Revision uint64
+}
+
+// DrainInForce is a data centre that is out of service, with the sources of its drain, of
+// which there is at least one.
+type DrainInForce struct {
+	DataCenter string
+	// Revision is that of the platform's entry; 0 if there is none.
+	Revision uint64
+	// Line is the line of the rules file; its Number is 0 if there is none.
+	Line RuleLine
 }
 
 // ListedTarget is a target's entry on the platform's list, which may lag behind
@@ -76,6 +99,9 @@
 	// that the target has stopped. Such a target is used only as a last resort. It is
 	// not set in a mass removal, which is attributed to a fault of the platform.
 	Delisted bool
+	// Drained is set if the data centre of the target is out of service. It follows from
+	// the drains and the rules, and is not passed on to peers.
+	Drained bool
 }
 
 // Identity returns the target's ID, or its address if the platform assigns no ID.
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -34,7 +34,7 @@
 // exist in one format only and are zero in the other:
 //
 //   - Only rules files, which have tarragonwell's own format and are parsed by package
-//     rulesfile, have organisations, a ticket lifetime, long kinds and ramps.
+//     rulesfile, have organisations, a ticket lifetime, long kinds, ramps and data centres.
 //   - Only the configuration of the prepared platform, which package platform parses,
 //     has caller limits, hosts, splits, timeouts and attempt limits of routes, latency
 //     objectives, CrossDataCenter, placement probes, utilizations, probe paths and
@@ -48,6 +48,8 @@
 	Services map[string]*Service
 	// Kinds is keyed by name.
 	Kinds map[string]*Kind
+	// DataCenters is keyed by name.
+	DataCenters map[string]*DataCenter
 	// Routes is in file order.
 	Routes []*Route
 	// Lines holds all rules in file order.
@@ -87,6 +89,14 @@
 	Line       RuleLine
 }
 
+// DataCenter is the rule on one data centre.
+type DataCenter struct {
+	Name string
+	// Drain is set if the data centre is out of service: its targets get no calls.
+	Drain bool
+	Line  RuleLine
+}
+
 // Service describes the targets of one service.
 type Service struct {
 	Name string
