--- a/pkg/rulesfile/build.go
+++ b/pkg/rulesfile/build.go
@@ -49,8 +49,9 @@
 				InstancesAtMost: defaultInstancesAtMost,
 				TicketLife:      defaultTicketLife,
 			},
-			Services: map[string]*tarragonwell.Service{},
-			Kinds:    map[string]*tarragonwell.Kind{},
+			Services:    map[string]*tarragonwell.Service{},
+			Kinds:       map[string]*tarragonwell.Kind{},
+			DataCenters: map[string]*tarragonwell.DataCenter{},
 		},
 		lineByKey: map[string]int{},
 	}
@@ -62,13 +63,13 @@
 		Decoder: d,
 	}
 	sections := 0
-	for _, present := range []bool{m.Fleet != nil, m.Service != nil, m.Kind != nil, m.Route != nil} {
+	for _, present := range []bool{m.Fleet != nil, m.Service != nil, m.Kind != nil, m.Route != nil, m.DataCenter != nil} {
 		if present {
 			sections++
 		}
 	}
 	if sections != 1 {
-		c.Fail("", "want exactly one of fleet, service, kind, route")
+		c.Fail("", "want exactly one of fleet, service, kind, route, data-center")
 		return c.Errs
 	}
 	switch {
@@ -80,6 +81,8 @@
 		b.addKind(m.Kind, c, line)
 	case m.Route != nil:
 		b.addRoute(m.Route, c, line)
+	case m.DataCenter != nil:
+		b.addDataCenter(m.DataCenter, c, line)
 	}
 	return c.Errs
 }
@@ -188,6 +191,20 @@
 	b.set.Kinds[k.Name] = k
 }
 
+func (b *builder) addDataCenter(m *pb.DataCenterRule, c *yamldoc.Checker, line tarragonwell.RuleLine) {
+	c.Prefix = "data-center"
+	c.Name("name", m.Name)
+	b.addLine(c, "name", "data-center "+m.Name, &line)
+	if c.Decoder.Line("data-center.drain") == 0 {
+		c.Fail("drain", "is missing; set it to true or false")
+	}
+	b.set.DataCenters[m.Name] = &tarragonwell.DataCenter{
+		Name:  m.Name,
+		Drain: m.Drain,
+		Line:  line,
+	}
+}
+
 var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
 func (b *builder) addRoute(m *pb.RouteRule, c *yamldoc.Checker, line tarragonwell.RuleLine) {
--- a/pkg/rulesfile/parse_test.go
+++ b/pkg/rulesfile/parse_test.go
@@ -98,6 +98,21 @@
 			line: "- {kind: {name: k, organisation: o, repeatable: false, length: long}}  # x",
 			want: "f:5: kind.length:",
 		},
+		{
+			name: "data centre without drain",
+			line: "- data-center: {name: north-a}  # x",
+			want: "f:5: data-center.drain: is missing",
+		},
+		{
+			name: "data centre with an invalid name",
+			line: "- data-center: {name: North, drain: true}  # x",
+			want: "f:5: data-center.name: want lowercase letters",
+		},
+		{
+			name: "data centre twice",
+			line: "- data-center: {name: north, drain: true}  # x\n- data-center: {name: north, drain: false}  # x",
+			want: "f:6: data-center.name: duplicate of line 5",
+		},
 		{
 			name: "unknown service",
 			line: "- {route: {path: /b, service: nope, kind: read}}  # x",
@@ -137,8 +152,25 @@
 	}
 }
 
+// TestDataCenterLine guards against a line of a data centre that is accepted without effect,
+// or whose requester is lost.
+func TestDataCenterLine(t *testing.T) {
+	set, err := Parse("f", 7, []byte(validRules+"- data-center: { name: north-a, drain: true }  # Mere, network team\n- data-center: {name: south, drain: false}  # Ana\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	north := set.DataCenters["north-a"]
+	if north == nil || !north.Drain || north.Line.Number != 5 || north.Line.AskedBy != "Mere, network team" {
+		t.Errorf("got %+v, want a drain in line 5 by Mere, network team", north)
+	}
+	if south := set.DataCenters["south"]; south == nil || south.Drain {
+		t.Errorf("got %+v, want a data centre that is not drained", south)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validRules))
+	f.Add([]byte("- data-center: {name: north, drain: true}  # x"))
 	f.Add([]byte("- {fleet: {instances-at-most: 3}} # x\n- [1,2"))
 	f.Fuzz(func(t *testing.T, content []byte) {
 		first, err := Parse("f", 1, content)
