Send nothing to drained targets, and return them gradually

Cause: a drained target has to be left out on every path, and its capacity must not be counted while others take its calls. Change: a drained target does not accept calls, on any path and as a last resort. Slots, shares for long calls, the preferred subset, the probe budget and the bounds on peers' announcements count undrained targets only, and calls that finish at drained targets do not count against the limit. If all targets are drained, calls are rejected at once with a reason of their own.

--- a/pkg/tarragonwell/policy/adaptive.go
+++ b/pkg/tarragonwell/policy/adaptive.go
@@ -223,11 +223,13 @@
 }
 
 // rampLimit returns the maximum number of the instance's own calls in flight at a
-// target: maxOccupancyPerSlot times the slots. During the slow start of a new or
-// recovered target, it rises linearly from 1 to that number.
+// target: maxOccupancyPerSlot times the slots. During the slow start of a new, recovered
+// or returning target, it rises linearly from 1 to that number. Before the slow start, when
+// the target is a last resort, it is 1.
 func rampLimit(now time.Time, t *tarragonwell.TargetState, ramp time.Duration) int {
 	full := int(math.Ceil(float64(t.Slots) * maxOccupancyPerSlot))
-	age := now.Sub(t.RampStart)
+	ramp = max(ramp, t.MinRamp)
+	age := max(0, now.Sub(t.RampStart))
 	if ramp <= 0 || age >= ramp {
 		return full
 	}
--- a/pkg/tarragonwell/scheduling/backoff.go
+++ b/pkg/tarragonwell/scheduling/backoff.go
@@ -44,17 +44,22 @@
 	return float64(xxhash.Sum64String(s.options.InstanceName+" "+id)%steps) / steps
 }
 
-// accepts reports whether a target may be sent calls: it is neither leaving nor in
-// backoff.
+// accepts reports whether a target may be sent calls: it is neither drained nor leaving
+// nor in backoff.
 func accepts(now time.Time, t *tarragonwell.TargetState) bool {
-	return !t.Leaving(now) && !t.InBackoff(now)
+	return inService(now, t) && !t.InBackoff(now)
 }
 
-// noneAccepts reports whether the service has targets and all of them are leaving or
-// asked to be sent nothing for longer.
+// inService reports whether a target is neither drained nor leaving.
+func inService(now time.Time, t *tarragonwell.TargetState) bool {
+	return !t.Drained && !t.Leaving(now)
+}
+
+// noneAccepts reports whether the service has targets and all of them are drained, leaving
+// or asked to be sent nothing for longer.
 func (s *Scheduler) noneAccepts(now time.Time) bool {
 	for _, t := range s.targets {
-		if !t.Leaving(now) && !now.Before(t.BackoffUntil) {
+		if inService(now, t) && !now.Before(t.BackoffUntil) {
 			return false
 		}
 	}
@@ -65,7 +70,7 @@
 // may soon make it available to others.
 func (s *Scheduler) trialPending(now time.Time) bool {
 	for _, t := range s.targets {
-		if !t.Leaving(now) && !now.Before(t.BackoffUntil) && t.BackoffTrial {
+		if inService(now, t) && !now.Before(t.BackoffUntil) && t.BackoffTrial {
 			return true
 		}
 	}
@@ -76,7 +81,7 @@
 func (s *Scheduler) noTargetsRetryAfter(now time.Time) time.Duration {
 	first := time.Time{}
 	for _, t := range s.targets {
-		ends := !t.Leaving(now) && now.Before(t.BackoffUntil)
+		ends := inService(now, t) && now.Before(t.BackoffUntil)
 		if ends && (first.IsZero() || t.BackoffUntil.Before(first)) {
 			first = t.BackoffUntil
 		}
--- a/pkg/tarragonwell/scheduling/decision.go
+++ b/pkg/tarragonwell/scheduling/decision.go
@@ -98,6 +98,7 @@
 // Reasons for rejections, which are sent to callers.
 const (
 	ReasonNoTargets        = "no target of the service takes work"
+	ReasonDrained          = "the data centres of the service are drained"
 	ReasonDeadline         = "the deadline can't be met"
 	ReasonLatencyObjective = "no target gets free within the objective"
 	ReasonQueueFull        = "the queue is full"
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -10,27 +10,28 @@
 
 // belowFairShare reports whether the instance's calls in flight are below its fair
 // share of the slots that the kind may use. For a long kind, only long calls are
-// counted.
+// counted. Drained targets and the calls in flight there do not count.
 func (s *Scheduler) belowFairShare(k *tarragonwell.Kind) bool {
 	instances := max(1, s.options.ServingInstanceCount)
 	if k.Long {
-		return float64(s.inFlightLong*instances) < s.longShare(k)*float64(s.totalSlots())
+		return float64(s.undrainedInFlightLong()*instances) < s.longShare(k)*float64(s.totalSlots())
 	}
-	return s.inFlight*instances < s.totalSlots()
+	return s.undrainedInFlight()*instances < s.totalSlots()
 }
 
 // eligibleTargets returns the targets to which the call may be sent. The slice is
 // valid until the next call of this method.
 //
-// Targets that are leaving or in backoff are never eligible, and long kinds are limited to a share of the
-// targets. Targets that are delisted, ejected, suspected or already tried are left
-// out as well. If none remains, the conditions are relaxed, trying one alternative
-// after the other: first outside the kind's share, if the call has tried some
-// targets; then within the share, including tried, ejected and suspected targets;
-// finally within the share, including delisted ones too.
+// Targets that are drained, leaving or in backoff are never eligible, and long kinds are
+// limited to a share of the targets. Targets that are delisted, ejected, suspected,
+// returning after a drain or already tried are left out as well. If none remains, the
+// conditions are relaxed, trying one alternative after the other: first outside the kind's
+// share, if the call has tried some targets; then within the share, including tried,
+// ejected, suspected and returning targets; finally within the share, including delisted
+// ones too.
 func (s *Scheduler) eligibleTargets(now time.Time, p *admission.PendingCall) []*tarragonwell.TargetState {
 	usable := func(t *tarragonwell.TargetState) bool {
-		return !t.Delisted && !ejected(now, t) && !suspected(now, t) && !slices.Contains(p.Exclude, t.ID)
+		return !t.Delisted && !ejected(now, t) && !suspected(now, t) && !now.Before(t.ReturnAt) && !slices.Contains(p.Exclude, t.ID)
 	}
 	s.filter(func(t *tarragonwell.TargetState) bool { return s.mayServe(now, t, p.Kind) && usable(t) })
 	if len(s.eligible) == 0 && len(p.Exclude) > 0 {
@@ -57,7 +58,7 @@
 
 // mayServe reports whether a target may be sent calls of the kind at all: it accepts
 // calls, and is within the share of the targets to which a long kind is limited.
-// With only one target, the limit is a share of its slots.
+// With only one target that is not drained, the limit is a share of its slots.
 func (s *Scheduler) mayServe(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) bool {
 	if !accepts(now, t) {
 		return false
@@ -66,10 +67,10 @@
 		return true
 	}
 	share := s.longShare(k)
-	if len(s.targets) == 1 {
+	if s.undrained == 1 {
 		return t.InFlightLong < max(1, int(share*float64(t.Slots)))
 	}
-	return t.LongCallRank < max(1, int(share*float64(len(s.targets))))
+	return t.LongCallRank < max(1, int(share*float64(s.undrained)))
 }
 
 // ejected reports whether a target is ejected for its failures. After the ejection
--- a/pkg/tarragonwell/scheduling/leaving.go
+++ b/pkg/tarragonwell/scheduling/leaving.go
@@ -101,14 +101,14 @@
 	return isNew
 }
 
-// nextAnnouncedLeavingShare returns the share of the targets that would be leaving only
-// because of announcements with one more than now.
+// nextAnnouncedLeavingShare returns the share of the targets, without drained ones, that
+// would be leaving only because of announcements with one more than now.
 func (s *Scheduler) nextAnnouncedLeavingShare(now time.Time) float64 {
 	announced := 1
 	for _, t := range s.targets {
-		if !t.ListedLeaving && !t.LeavingReported && now.Before(t.LeavingUntil) {
+		if !t.Drained && !t.ListedLeaving && !t.LeavingReported && now.Before(t.LeavingUntil) {
 			announced++
 		}
 	}
-	return float64(announced) / float64(len(s.targets))
+	return float64(announced) / float64(max(1, s.undrained))
 }
--- a/pkg/tarragonwell/scheduling/placement_probe.go
+++ b/pkg/tarragonwell/scheduling/placement_probe.go
@@ -33,14 +33,14 @@
 )
 
 // configurePlacementProbes sets the instance's share of the probe budget. The
-// budget is a rate per target, so that the probe load on the targets does not
+// budget is a rate per target that is not drained, so that the probe load on the targets does not
 // grow with the rate of calls.
 func (s *Scheduler) configurePlacementProbes() {
 	service := s.options.ServiceRule
 	if service.PlacementProbes <= 0 {
 		return
 	}
-	probesPerSecond := service.ProbeBudget * float64(len(s.targets)) / float64(max(1, s.options.BudgetDivisor))
+	probesPerSecond := service.ProbeBudget * float64(s.undrained) / float64(max(1, s.options.BudgetDivisor))
 	s.placementProbeLimiter.SetLimit(rate.Limit(probesPerSecond))
 	s.placementProbeLimiter.SetBurst(max(service.PlacementProbes, int(probesPerSecond*placementProbeBurstTime.Seconds())))
 }
--- a/pkg/tarragonwell/scheduling/release.go
+++ b/pkg/tarragonwell/scheduling/release.go
@@ -151,6 +151,10 @@
 func (s *Scheduler) recordSuccess(now time.Time, t *tarragonwell.TargetState, r Release) {
 	t.FailureRate *= 1 - failureSmoothing
 	if t.ConsecutiveFailures >= ejectionThreshold || t.BackoffTrial {
+		if now.Sub(t.RampStart) >= t.MinRamp {
+			// The slow start after a drain was complete.
+			t.MinRamp = 0
+		}
 		t.RampStart = now
 	}
 	t.BackoffTrial = now.Before(t.BackoffUntil)
@@ -162,7 +166,7 @@
 	}
 	t.LastProgress = now
 	s.recordLatency(t, r)
-	s.limiter.RecordSuccess(s.inFlight, s.totalSlots())
+	s.limiter.RecordSuccess(s.undrainedInFlight(), s.totalSlots())
 }
 
 // recordLatency records the latency of a short call.
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -41,9 +41,11 @@
 	options Options
 	// targets is ordered by ID.
 	targets []*tarragonwell.TargetState
-	queue   admission.Queue
-	limiter admission.Limiter
-	retries admission.RetryBudget
+	// undrained is the number of targets that are not drained.
+	undrained int
+	queue     admission.Queue
+	limiter   admission.Limiter
+	retries   admission.RetryBudget
 	// placementProbeLimiter keeps placement probes within the probe budget.
 	placementProbeLimiter *rate.Limiter
 	lastQueueProbe        time.Time
@@ -159,7 +161,7 @@
 // enqueue queues a call, or rejects it if it could not be served in time.
 func (s *Scheduler) enqueue(now time.Time, p *admission.PendingCall) Decision {
 	if s.noneAccepts(now) || len(s.eligibleTargets(now, p)) == 0 && !s.trialPending(now) {
-		return reject(p.ID, ReasonNoTargets, s.noTargetsRetryAfter(now))
+		return s.rejectNoTargets(now, p)
 	}
 	wait := s.estimatedWait(p)
 	if now.Add(wait + s.requiredTime(p.Kind)).After(p.Deadline) {
@@ -174,6 +176,15 @@
 	return Decision{}
 }
 
+// rejectNoTargets rejects a call because no target accepts it.
+func (s *Scheduler) rejectNoTargets(now time.Time, p *admission.PendingCall) Decision {
+	reason := ReasonNoTargets
+	if len(s.targets) > 0 && s.undrained == 0 {
+		reason = ReasonDrained
+	}
+	return reject(p.ID, reason, s.noTargetsRetryAfter(now))
+}
+
 func reject(id uint64, reason string, retryAfter time.Duration) Decision {
 	return Decision{
 		Rejection: &Rejection{
@@ -203,7 +214,7 @@
 	var decisions []Decision
 	if s.noneAccepts(now) {
 		for _, p := range s.queue.Remove(func(*admission.PendingCall) bool { return true }) {
-			decisions = append(decisions, s.withLoadSnapshot(p, reject(p.ID, ReasonNoTargets, s.noTargetsRetryAfter(now))))
+			decisions = append(decisions, s.withLoadSnapshot(p, s.rejectNoTargets(now, p)))
 		}
 		return decisions
 	}
@@ -265,7 +276,7 @@
 		return nil
 	}
 	targets := s.eligibleTargets(now, p)
-	if len(targets) == 0 || float64(s.inFlight) >= s.Limit() {
+	if len(targets) == 0 || float64(s.undrainedInFlight()) >= s.Limit() {
 		return nil
 	}
 	i := s.options.Policy.Choose(now, s.choiceInput(p), targets)
--- a/pkg/tarragonwell/scheduling/suspects.go
+++ b/pkg/tarragonwell/scheduling/suspects.go
@@ -54,15 +54,15 @@
 	t.SuspectUntil = expiresAt
 }
 
-// nextSuspectedShare returns the share of the targets that would be suspected with
-// one more than now. It does not consider which target that is: at the limit, the
+// nextSuspectedShare returns the share of the targets, without drained ones, that would be
+// suspected with one more than now. It does not consider which target that is: at the limit, the
 // suspicion of a target that is already suspected can't be extended.
 func (s *Scheduler) nextSuspectedShare(now time.Time) float64 {
 	suspects := 1
 	for _, t := range s.targets {
-		if suspected(now, t) {
+		if !t.Drained && suspected(now, t) {
 			suspects++
 		}
 	}
-	return float64(suspects) / float64(len(s.targets))
+	return float64(suspects) / float64(max(1, s.undrained))
 }
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -34,10 +34,17 @@
 			t = s.addTarget(now, l, wasEmpty)
 			joined = append(joined, l)
 		}
+		s.setDrained(now, t, l.Drained)
 		t.ListedLeaving = l.Leaving
 		t.Delisted = l.Delisted
 		t.WarmUpUntil = now.Add(l.WarmUpRemaining)
 	}
+	s.undrained = 0
+	for _, t := range s.targets {
+		if !t.Drained {
+			s.undrained++
+		}
+	}
 	s.orderTargets()
 	s.configurePlacementProbes()
 	return joined, left
@@ -76,9 +83,9 @@
 	return max(1, s.options.ServiceRule.Slots)
 }
 
-// orderTargets sets the order of the targets for long calls by rendezvous hashing.
-// When a target joins or leaves, the order of the others is unchanged, so the first n
-// targets change by at most one. orderTargets also updates the preferred targets and
+// orderTargets sets the order of the targets for long calls by rendezvous hashing, drained
+// ones last. When a target joins or leaves, the order of the others is unchanged, so the
+// first n targets change by at most one. orderTargets also updates the preferred targets and
 // sorts the targets by ID.
 func (s *Scheduler) orderTargets() {
 	byHash := slices.Clone(s.targets)
@@ -86,6 +93,12 @@
 		return xxhash.Sum64String(s.options.ServiceRule.Name + " " + t.ID)
 	}
 	slices.SortFunc(byHash, func(a, b *tarragonwell.TargetState) int {
+		if a.Drained != b.Drained {
+			if b.Drained {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Compare(hash(a), hash(b))
 	})
 	for i, t := range byHash {
@@ -122,18 +135,20 @@
 		if t.Local {
 			remaining = &localLeft
 		}
-		t.Preferred = *remaining > 0 && !t.ListedLeaving && !t.Delisted
+		t.Preferred = *remaining > 0 && !t.ListedLeaving && !t.Delisted && !t.Drained
 		if t.Preferred {
 			*remaining--
 		}
 	}
 }
 
-// totalSlots returns the number of slots of all targets together.
+// totalSlots returns the number of slots of all targets together that are not drained.
 func (s *Scheduler) totalSlots() int {
 	n := 0
 	for _, t := range s.targets {
-		n += t.Slots
+		if !t.Drained {
+			n += t.Slots
+		}
 	}
 	return n
 }
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -69,8 +69,12 @@
 	SuspectAnnouncedAt time.Time
 	// Ejections is the number of ejections since the last success.
 	Ejections int
-	// RampStart is when the target joined or recovered, which starts its slow start.
+	// RampStart is when the target joined, recovered or returned after a drain, which
+	// starts its slow start. It is in the future while the target awaits ReturnAt.
 	RampStart time.Time
+	// MinRamp is the minimum length of the slow start that begins at RampStart, whatever
+	// the rules say. It is above 0 only after a drain of the target's data centre.
+	MinRamp time.Duration
 	// WarmUpUntil is the end of the target's warm-up according to the platform.
 	WarmUpUntil time.Time
 	// PlacementProbedAt is when the target last responded to a placement probe.
@@ -93,6 +97,12 @@
 	// recently to conclude that the target has stopped; see ListedTarget.Delisted. Such
 	// a target is used only as a last resort.
 	Delisted bool
+	// Drained is set if the target's data centre is out of service. The target is then
+	// never eligible for calls, nor as a last resort.
+	Drained bool
+	// ReturnAt is when the instance sends calls to the target again after a drain; see
+	// package drains. Before that, the target is used only as a last resort.
+	ReturnAt time.Time
 	// Preferred is set if the target is in the subset that the instance sends calls
 	// to by preference, so that connections are reused and load reports are recent.
 	// The subset has a maximum size, which is larger for the local data centre than
