--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -7,9 +7,11 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/tarragonwell/tarragonwell/internal/operator"
 	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/drains"
 )
 
 var errInvalidFile = eris.New("invalid file")
@@ -37,6 +39,9 @@
 			continue
 		}
 		fmt.Fprintf(o.Stdout, "%s: accepted, %d rules, digest %x\n", file, len(set.Lines), set.Version.Digest)
+		for _, d := range operator.DrainsToProto(drains.Combine(nil, set.DataCenters), nil) {
+			printDrain(o, d, false)
+		}
 	}
 	for _, file := range c.Settings {
 		if _, err := settingsfile.Load(file); err != nil {
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -37,6 +37,9 @@
 	for _, r := range response.GetRules() {
 		fmt.Fprintf(o.Stdout, "line %d, asked for by: %s\n    %s\n", r.GetLine(), r.GetAskedBy(), r.GetText())
 	}
+	for _, d := range response.GetDrains() {
+		printDrain(o, d, c.From != "")
+	}
 	return nil
 }
 
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -44,6 +44,9 @@
 	if s.GetRefusal() != "" {
 		fmt.Fprintf(o.Stdout, "revision %d was refused: %s\n", s.GetRefusedRevision(), s.GetRefusal())
 	}
+	for _, d := range s.GetDrains() {
+		printDrain(o, d, true)
+	}
 	fmt.Fprintf(o.Stdout, "operations retained %d (%d bytes)\n", s.GetOperations(), s.GetOperationBytes())
 	w := tabwriter.NewWriter(o.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "\nPEER\tDATA-CENTER\tSTATE")
--- a/internal/instance/fetch_test.go
+++ b/internal/instance/fetch_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/peer"
 	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
@@ -21,8 +23,14 @@
 type fakeStore struct {
 	mu    sync.Mutex
 	rules tarragonwell.PublishedRules
-	// revision is that of the latest change, of the rules or of a target.
+	// revision is that of the latest change, of the rules, a target or a drain.
 	revision uint64
+	// list holds all entries of the list, with the revisions of their latest changes.
+	list tarragonwell.ListChange
+	// service is the only service in the rules; nil for none.
+	service *tarragonwell.Service
+	// down is set while reads fail.
+	down bool
 }
 
 // Feeds implements tarragonwell.PlatformClient.
@@ -35,10 +43,28 @@
 	if string(p.Content) == "invalid" {
 		return nil, rulesfile.ErrInvalid
 	}
-	return &tarragonwell.RuleSet{
+	set := &tarragonwell.RuleSet{
 		Version: rulesfile.VersionOf(p.Revision, p.Content),
 		Content: p.Content,
-	}, nil
+	}
+	if f.service != nil {
+		set.Services = map[string]*tarragonwell.Service{
+			f.service.Name: f.service,
+		}
+	}
+	if string(p.Content) == lineDrain {
+		set.DataCenters = map[string]*tarragonwell.DataCenter{
+			"north": {
+				Name:  "north",
+				Drain: true,
+				Line: tarragonwell.RuleLine{
+					Number:  1,
+					AskedBy: "Mere",
+				},
+			},
+		}
+	}
+	return set, nil
 }
 
 // Name implements tarragonwell.Feed.
@@ -56,13 +82,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var u tarragonwell.PlatformUpdate
+	if f.down {
+		return u, errStoreDown
+	}
 	if after.List >= f.revision {
 		return u, nil
 	}
-	u.List = &tarragonwell.ListChange{
-		Since:    after.List,
-		Revision: f.revision,
-	}
+	u.List = f.changesSince(after.List)
 	if f.rules.Revision > after.List {
 		rules := f.rules
 		u.Rules = &rules
@@ -70,6 +96,36 @@
 	return u, nil
 }
 
+// errStoreDown is the error of reads while the store is down.
+var errStoreDown = eris.New("the store is down")
+
+// lineDrain is the content of rules that drain the data centre north.
+const lineDrain = "drain"
+
+// changesSince returns the entries that changed after a revision.
+func (f *fakeStore) changesSince(since uint64) *tarragonwell.ListChange {
+	c := &tarragonwell.ListChange{
+		Since:    since,
+		Revision: f.revision,
+	}
+	for _, t := range f.list.Targets {
+		if t.Revision > since {
+			c.Targets = append(c.Targets, t)
+		}
+	}
+	for _, d := range f.list.Drains {
+		if d.Revision > since {
+			c.Drains = append(c.Drains, d)
+		}
+	}
+	for _, d := range f.list.EndedDrains {
+		if d.Revision > since && since > 0 {
+			c.EndedDrains = append(c.EndedDrains, d)
+		}
+	}
+	return c
+}
+
 // publish publishes rules.
 func (f *fakeStore) publish(content string) {
 	f.mu.Lock()
@@ -89,6 +145,11 @@
 }
 
 func startFetchFixture(t *testing.T, store *fakeStore) *fetchFixture {
+	t.Helper()
+	return startFetchFixtureWith(t, store, common.SystemClock{})
+}
+
+func startFetchFixtureWith(t *testing.T, store *fakeStore, clock tarragonwell.Clock) *fetchFixture {
 	t.Helper()
 	l, err := common.NewLogger(io.Discard, "error", "test")
 	if err != nil {
@@ -99,6 +160,7 @@
 	}, l, nil, Adapters{
 		Platform: store,
 	})
+	i.common.Clock = clock
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { i.reconciler.Run(ctx) })
@@ -144,6 +206,12 @@
 
 // servePeers serves the fixture's data to peers, but for the methods that are cut off.
 func (f *fetchFixture) servePeers(t *testing.T, cutOff ...string) (address string) {
+	t.Helper()
+	return f.servePeersSlowly(t, 0, cutOff...)
+}
+
+// servePeersSlowly is servePeers with a delay of each response with the list.
+func (f *fetchFixture) servePeersSlowly(t *testing.T, delay time.Duration, cutOff ...string) (address string) {
 	t.Helper()
 	s := &peer.Server{
 		Peers:        f.peers,
@@ -158,6 +226,9 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
+		if strings.HasSuffix(r.URL.Path, "/FetchList") {
+			time.Sleep(delay)
+		}
 		handler.ServeHTTP(w, r)
 	}))
 	server.Config.Protocols = protocols
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -57,6 +57,7 @@
 	listRevision uint64
 	instances    []tarragonwell.ListedInstance
 	refusal      refusal
+	drains       drainStatus
 }
 
 // refusal describes the rules file that was refused last.
@@ -93,6 +94,10 @@
 	invalidEntries map[string]bool
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
+	// drains holds the drains that were last recorded.
+	drains drainStatus
+	// updatedFrom is the source of the latest update.
+	updatedFrom string
 }
 
 // fetchKind is the kind of a fetch from a peer.
@@ -134,6 +139,7 @@
 		mailbox: task.NewMailbox[any](mailboxSize),
 	}
 	rc.snapshot.Store(&snapshot{})
+	rc.registerDrainMetrics()
 	return rc
 }
 
@@ -241,6 +247,7 @@
 // applyUpdate applies the rules and the list of an update, in this order, and reports
 // whether either has changed.
 func (rc *reconciler) applyUpdate(st *reconcilerState, m updateMessage) bool {
+	st.updatedFrom = m.from
 	changed := m.update.Rules != nil && rc.applyRules(st, m.update.Rules, m.from)
 	rc.logInvalidEntries(st, &m.update)
 	if m.update.List != nil && rc.applyList(st, m.update.List, m.from) {
@@ -369,6 +376,7 @@
 		refusal:      st.refusal,
 		listRevision: st.list.Revision(),
 		instances:    st.list.Instances(),
+		drains:       st.drains,
 	}
 	if st.rules != nil {
 		snap.routing = rc.buildRouting(st, snap.services)
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -33,6 +33,7 @@
 	}
 	st.counts = rc.countInstances(st)
 	byService := st.list.Targets()
+	rc.updateDrains(st, byService)
 	for name, rule := range st.rules.Services {
 		r := st.running[name]
 		if r == nil {
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -38,6 +38,7 @@
 		Incarnation:     hex.EncodeToString(i.common.Incarnation[:]),
 		RefusedRevision: snap.refusal.version.Revision,
 		Refusal:         snap.refusal.reason,
+		Drains:          i.Drains(),
 	}
 	if set := i.reconciler.Rules(); set != nil {
 		out.RulesRevision = set.Version.Revision
@@ -90,6 +91,7 @@
 			Failed:       t.Failed,
 			Shed:         t.Shed,
 			Probes:       t.Probes,
+			Drained:      t.Drained,
 		})
 	}
 	return out
@@ -99,12 +101,16 @@
 // serving, even if its trial call is still in flight.
 func targetState(t *tarragonwell.TargetState, now time.Time) string {
 	switch {
+	case t.Drained:
+		return "drained"
 	case t.Leaving(now):
 		return "leaving"
 	case now.Before(t.BackoffUntil):
 		return "backoff"
 	case now.Before(t.EjectedUntil):
 		return "ejected"
+	case now.Before(t.ReturnAt):
+		return "returning"
 	default:
 		return "serving"
 	}
--- a/internal/operator/page.go
+++ b/internal/operator/page.go
@@ -32,7 +32,8 @@
 <p>State {{.Status.State}}, data centre {{.Status.DataCenter}},
 rules revision {{.Status.RulesRevision}}, digest {{.Status.RulesDigest}}.</p>
 {{if .Status.Refusal}}<p><strong>Revision {{.Status.RefusedRevision}} was refused:</strong> <code>{{.Status.Refusal}}</code></p>{{end}}
-<h2>Rules in force</h2>
+{{range .Status.Drains}}<p><strong>Data centre {{.DataCenter}} is drained</strong> ({{.Source}}{{if .AskedBy}}, asked for by {{.AskedBy}}{{end}}): {{.Targets}} targets affected.</p>
+{{end}}<h2>Rules in force</h2>
 <table><tr><th>Line</th><th>Rule</th><th>Asked for by</th></tr>
 {{range .Lines}}<tr><td>{{.Number}}</td><td><code>{{.Text}}</code></td><td>{{.AskedBy}}</td></tr>
 {{end}}</table>
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -15,6 +15,7 @@
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1/tarragonwellv1connect"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/drains"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/rules"
 )
 
@@ -23,6 +24,8 @@
 	Status(ctx context.Context) *pb.StatusResponse
 	// Rules returns the rules in force, or nil.
 	Rules() *tarragonwell.RuleSet
+	// Drains returns the data centres that are out of service.
+	Drains() []*pb.DrainStatus
 	// Ready reports whether the instance should receive calls.
 	Ready() bool
 }
@@ -107,16 +110,20 @@
 	if set == nil {
 		return nil, connect.NewError(connect.CodeNotFound, nil)
 	}
-	return connect.NewResponse(NewExplainResponse(set, r.Msg)), nil
+	response := NewExplainResponse(set, r.Msg)
+	response.Drains = s.state.Drains()
+	return connect.NewResponse(response), nil
 }
 
-// NewExplainResponse returns the rules that apply to a request as an API response. The
-// command explain also uses it, on a rules file without an instance.
+// NewExplainResponse returns the rules that apply to a request, and the drains that the
+// rules contain, as an API response. The command explain also uses it, on a rules file
+// without an instance.
 func NewExplainResponse(set *tarragonwell.RuleSet, r *pb.ExplainRequest) *pb.ExplainResponse {
 	lines := rules.Explain(set, r.GetHost(), r.GetMethod(), r.GetPath())
 	response := &pb.ExplainResponse{
 		Found:    len(lines) > 0,
 		Revision: set.Version.Revision,
+		Drains:   DrainsToProto(drains.Combine(nil, set.DataCenters), nil),
 	}
 	for _, l := range lines {
 		response.Rules = append(response.Rules, &pb.RuleInForce{
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +15,9 @@
 
 // sendPolicyProbes sends the probes that a probing policy requests for a new call.
 func (dr *Dispatcher) sendPolicyProbes(now time.Time, st *state) {
-	states := st.scheduler.Targets()
+	states := slices.DeleteFunc(slices.Clone(st.scheduler.Targets()), func(t *tarragonwell.TargetState) bool {
+		return t.Drained
+	})
 	if len(states) == 0 {
 		return
 	}
@@ -65,7 +68,7 @@
 
 // setTargets starts and stops the targets' tasks to match the platform's list.
 func (dr *Dispatcher) setTargets(ctx context.Context, st *state, targetTasks *sync.WaitGroup, list []tarragonwell.ListedTarget) {
-	before := len(st.handles)
+	before := st.scheduler.Undrained()
 	joined, left := st.scheduler.SetTargets(dr.options.Common.Clock.Now(), list)
 	for _, id := range left {
 		delete(st.unannounced, id)
@@ -77,12 +80,12 @@
 		st.handles[l.ID] = dr.startTarget(ctx, st, targetTasks, l)
 		dr.recordChange("target-joined", l.ID, "platform")
 	}
-	dr.logTargetAvailability(before, len(st.handles))
+	dr.logTargetAvailability(before, st.scheduler.Undrained())
 	st.configureProbeIntervals()
 }
 
-// logTargetAvailability logs when a service loses its last target, and when it has
-// targets again.
+// logTargetAvailability logs when a service loses its last target that is not drained, and
+// when it has targets again.
 func (dr *Dispatcher) logTargetAvailability(before, after int) {
 	log := dr.options.Common.Log
 	switch {
@@ -96,15 +99,15 @@
 // configureProbeIntervals sets each target's probe interval. If there are targets in
 // the instance's data centre, only these are probed: remote targets receive calls only
 // on overflow or if too few local targets have room, and the responses to those calls
-// carry load reports.
+// carry load reports. Drained targets are not probed and do not count.
 func (st *state) configureProbeIntervals() {
 	anyLocal := false
 	for _, t := range st.scheduler.Targets() {
-		anyLocal = anyLocal || t.Local
+		anyLocal = anyLocal || t.Local && !t.Drained
 	}
 	for _, t := range st.scheduler.Targets() {
 		interval := time.Duration(0)
-		if t.Local || !anyLocal {
+		if !t.Drained && (t.Local || !anyLocal) {
 			interval = st.probeInterval()
 		}
 		st.handles[t.ID].target.SetProbeInterval(interval)
