Wait for a newer list of a peer before calls are placed after a pause

Cause: after a suspension the instance resumed as soon as it had queried the platform and a few peers, although a newer list that a peer had announced was still being fetched. With the store down it sent calls to targets that had been drained meanwhile. After a suspension of more than 10 s no peer counts as alive, so that none was queried. If no peer is alive, known ones are queried.

--- a/internal/instance/drains_test.go
+++ b/internal/instance/drains_test.go
@@ -5,15 +5,18 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1/tarragonwellv1connect"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/policy"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
 // newDrainStore returns a store with rules and with one target in each of the data centres
@@ -203,6 +206,61 @@
 	}
 }
 
+// jumpingClock is a clock whose uptime a test moves forward, as a suspension does.
+type jumpingClock struct {
+	common.SystemClock
+	offset atomic.Int64
+}
+
+// Uptime implements tarragonwell.Clock.
+func (c *jumpingClock) Uptime() time.Duration {
+	return c.SystemClock.Uptime() + time.Duration(c.offset.Load())
+}
+
+// TestSuspendedInstanceLearnsOfDrainFirst guards against a call that an instance sends to a
+// drained target after it was suspended, while the store is down and a peer's response with
+// the drain is still under way.
+func TestSuspendedInstanceLearnsOfDrainFirst(t *testing.T) {
+	store := newDrainStore()
+	reader := startFetchFixture(t, store)
+	clock := &jumpingClock{}
+	other := startFetchFixtureWith(t, store, clock)
+	reader.read(t)
+	other.read(t)
+	other.checkDrained(t, "before")
+	address := reader.servePeersSlowly(t, 100*time.Millisecond)
+	other.peers.SetSeeds([]string{address})
+	store.drain(true, "north", "south")
+	reader.read(t)
+	store.setDown(true)
+	reader.peers.AwaitMerged(reader.ctx)
+	for len(other.peers.SampleKnown(1)) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.offset.Add(int64(20 * time.Second))
+	r := other.reconciler.snapshot.Load().services["s"].Dispatch(other.ctx, &tarragonwell.Call{
+		ID:         "id",
+		Method:     http.MethodGet,
+		RequestURI: "/x",
+		Service:    store.service,
+		Route: &tarragonwell.Route{
+			Service: store.service,
+			Kind: &tarragonwell.Kind{
+				Name:      "k",
+				Weight:    1,
+				SlotShare: 1,
+			},
+		},
+		Deadline: time.Now().Add(fetchWait),
+	})
+	if got, want := r.Reason, scheduling.ReasonDrained; got != want {
+		t.Errorf("got reason %q, want %q", got, want)
+	}
+	if got, want := r.Outcome, tarragonwell.OutcomeNotRun; got != want {
+		t.Errorf("got outcome %v, want %v", got, want)
+	}
+}
+
 // TestDrainSources guards against a drain of one source that hides or ends that of the
 // other, and against operators who see neither source nor number of targets.
 func TestDrainSources(t *testing.T) {
--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -83,7 +83,8 @@
 }
 
 // resync reads the platform again and queries a few peers, after the process was
-// paused. The services resume when it is done, even if all reads have failed.
+// paused. The services resume when it is done, and a newer list of these peers has been
+// fetched, even if all reads have failed.
 func (rc *reconciler) resync(ctx context.Context, st *reconcilerState) {
 	if st.resyncing {
 		return
@@ -105,11 +106,31 @@
 			rc.submit(update)
 		}
 		// Peers report newer lists and leaving targets.
-		rc.peers.GossipWith(ctx, rc.peers.SampleAlive(resyncPeerCount))
+		rc.peers.GossipWith(ctx, rc.resyncPeers())
+		rc.peers.AwaitMerged(ctx)
 		rc.mailbox.Post(resyncDone{})
 	}()
 }
 
+// resyncPeers returns the addresses of the peers to query after a pause. After a long one
+// no peer counts as alive.
+func (rc *reconciler) resyncPeers() []string {
+	if alive := rc.peers.SampleAlive(resyncPeerCount); len(alive) > 0 {
+		return alive
+	}
+	return rc.peers.SampleKnown(resyncPeerCount)
+}
+
+// resume lets the services place calls again after a pause. The targets of the latest list
+// have been passed to them before.
+func (rc *reconciler) resume(st *reconcilerState) {
+	st.resyncing = false
+	st.resumeAfterFetch = false
+	for _, r := range st.running {
+		r.dispatcher.ConfirmTargets()
+	}
+}
+
 // watch reads a feed. A panic in its decoder is an error, as any other failure to read.
 func (rc *reconciler) watch(ctx context.Context, f tarragonwell.Feed, after tarragonwell.PlatformPosition, wait time.Duration) (tarragonwell.PlatformUpdate, error) {
 	var update tarragonwell.PlatformUpdate
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -94,6 +94,9 @@
 	invalidEntries map[string]bool
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
+	// resumeAfterFetch is set if the services resume after the pause when the fetch of the
+	// list in progress has ended.
+	resumeAfterFetch bool
 	// drains holds the drains that were last recorded.
 	drains drainStatus
 	// updatedFrom is the source of the latest update.
@@ -224,6 +227,9 @@
 		if rc.applyUpdate(st, m) {
 			rc.reconcile(ctx, st, wg)
 		}
+		if st.resumeAfterFetch && !st.fetching[fetchList] {
+			rc.resume(st)
+		}
 	case changesSinceMessage:
 		m.reply <- st.changesSince(m.revision, m.rules)
 	case rulesHint:
@@ -233,10 +239,12 @@
 	case resyncRequest:
 		rc.resync(ctx, st)
 	case resyncDone:
-		st.resyncing = false
-		for _, r := range st.running {
-			r.dispatcher.ConfirmTargets()
+		if st.fetching[fetchList] {
+			// A peer has a newer list, which may have drains.
+			st.resumeAfterFetch = true
+			return
 		}
+		rc.resume(st)
 	case leavingAnnouncement:
 		if r := st.running[m.leaving.Service]; r != nil {
 			r.dispatcher.MarkLeaving(m.leaving, m.from)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -212,6 +212,34 @@
 	return versions
 }
 
+// AwaitMerged waits until the gossip received so far has been merged and its newer versions
+// have been reported, or until ctx is done.
+func (p *Peers) AwaitMerged(ctx context.Context) {
+	_, err := task.Ask(ctx, p.mailbox, func(reply chan<- gossip) any {
+		return gossipMessage{
+			reply: reply,
+		}
+	})
+	if err != nil {
+		p.options.Common.Log.Debug("waiting for gossip failed", "error", err)
+	}
+}
+
+// SampleKnown draws up to n addresses of recorded peers and of those in the settings and on
+// the platform's list, whether alive or not.
+func (p *Peers) SampleKnown(n int) []string {
+	var out []string
+	for a := range p.Snapshot().knownAddresses {
+		if a != "" && a != p.options.Common.Settings.PeerAddress {
+			out = append(out, a)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) {
+		out[i], out[j] = out[j], out[i]
+	})
+	return out[:min(n, len(out))]
+}
+
 // SampleAlive draws up to n addresses of live peers.
 func (p *Peers) SampleAlive(n int) []string {
 	return sampleAddresses(p.Snapshot().Alive, n)
