--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -17,6 +17,9 @@
 	// drainLimit is the time after a target's draining announcement within which
 	// instances must stop sending requests to it.
 	drainLimit = 2 * time.Second
+	// zoneDrainLimit is the time after the store has confirmed the drain of a zone within
+	// which instances must stop sending requests to its targets.
+	zoneDrainLimit = 5 * time.Second
 	// cancelLimit is the time within which a target must stop work on a request
 	// after its client has disconnected. A share of maxLateCancelShare may take
 	// longer.
@@ -84,6 +87,7 @@
 		violations = append(violations, fmt.Sprintf("recovery: %d of %d requests served after the recovery time", served, sent))
 	}
 	violations = append(violations, checkDrainedTargets(in, requests, journal)...)
+	violations = append(violations, checkDrainedZones(e, in, requests, e.journal.Arrivals())...)
 	violations = append(violations, checkCancellation(requests, journal)...)
 	violations = append(violations, checkLeavers(in, requests, e.journal.Arrivals())...)
 	violations = append(violations, checkBackoff(e, requests, e.journal.Arrivals())...)
@@ -138,6 +142,28 @@
 	return violations
 }
 
+// checkDrainedZones checks that the targets of drained zones receive no requests from
+// instances that had no recent fault.
+func checkDrainedZones(e *environment, in *injector, requests []request, arrivals []prepared.Arrival) []string {
+	byID := requestsByID(requests)
+	zones := map[string]string{}
+	for _, b := range e.backends {
+		zones[b.target.ID] = b.zone
+	}
+	var violations []string
+	for _, a := range arrivals {
+		for _, d := range in.zoneDrains {
+			if zones[a.Target] != d.zone || a.At.Sub(d.from) <= zoneDrainLimit || a.At.After(d.to) {
+				continue
+			}
+			if r, known := byID[a.AttemptID]; known && r.instance.undisturbed(a.At) {
+				violations = append(violations, fmt.Sprintf("drained zone: %s reached %s from %s %v after the drain of %s", a.AttemptID, a.Target, r.instance.name, a.At.Sub(d.from), d.zone))
+			}
+		}
+	}
+	return violations
+}
+
 // checkCancellation checks that targets stop work on requests whose clients have
 // disconnected.
 func checkCancellation(requests []request, journal []prepared.Run) []string {
--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -43,6 +43,17 @@
 	// silentLeavings are the completed times during which targets said that they leave in
 	// their responses only.
 	silentLeavings []drainPeriod
+	// zoneDrains are the completed drains of zones.
+	zoneDrains []zoneDrain
+	// drainedZones are the zones that are drained now.
+	drainedZones map[string]bool
+}
+
+// zoneDrain is the time during which a zone was drained: from when the store had confirmed
+// the key until just before it was removed.
+type zoneDrain struct {
+	zone     string
+	from, to time.Time
 }
 
 // drainPeriod is the time during which a target was draining.
@@ -76,7 +87,7 @@
 	faults := []func(*instance, *backend, time.Duration, int){
 		in.kill, in.stop, in.freeze, in.failStore, in.partitionStore, in.compactStore, in.disruptStorePath,
 		in.disruptPeerPath, in.disruptTargetPath, in.dropTargetResponses, in.drainTarget, in.switchReads, in.switchReads,
-		in.leaveInResponses, in.askForBackoff, in.respondWithoutEnd, in.writeOddEntry,
+		in.leaveInResponses, in.askForBackoff, in.respondWithoutEnd, in.writeOddEntry, in.drainZone,
 	}
 	for ctx.Err() == nil {
 		inject := faults[in.random.IntN(len(faults))]
@@ -261,6 +272,37 @@
 	in.restart(b)
 }
 
+// drainZone drains the zone of a target for longer than zoneDrainLimit. It does nothing if
+// the zone is drained already.
+func (in *injector) drainZone(_ *instance, b *backend, length time.Duration, _ int) {
+	in.mu.Lock()
+	busy := in.drainedZones[b.zone]
+	if in.drainedZones == nil {
+		in.drainedZones = map[string]bool{}
+	}
+	in.drainedZones[b.zone] = true
+	in.mu.Unlock()
+	if busy {
+		return
+	}
+	in.record("%s is drained", b.zone)
+	key := "op/evacuate/" + b.zone
+	in.environment.store.Put(key, []byte("{}"))
+	confirmed := time.Now()
+	time.Sleep(zoneDrainLimit + length)
+	in.mu.Lock()
+	in.zoneDrains = append(in.zoneDrains, zoneDrain{
+		zone: b.zone,
+		from: confirmed,
+		to:   time.Now(),
+	})
+	in.mu.Unlock()
+	in.environment.store.Delete(key)
+	in.mu.Lock()
+	in.drainedZones[b.zone] = false
+	in.mu.Unlock()
+}
+
 // leaveInResponses lets a target say in its responses that it leaves, while its entry
 // still says that it is ready, and starts it again.
 func (in *injector) leaveInResponses(_ *instance, b *backend, length time.Duration, _ int) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -121,6 +121,54 @@
 	}
 }
 
+// TestCheckDetectsRequestsInDrainedZone checks that requests which reach a drained zone are
+// reported, and excused within the limit, after the end, and by a recent fault of the
+// instance.
+func TestCheckDetectsRequestsInDrainedZone(t *testing.T) {
+	begin := time.Now()
+	i := &instance{
+		name: "i",
+	}
+	e := &environment{
+		backends: []*backend{
+			{
+				target: prepared.NewTarget("i-1", "", 0, nil),
+				zone:   "zone-1",
+			},
+		},
+	}
+	in := &injector{
+		zoneDrains: []zoneDrain{
+			{
+				zone: "zone-1",
+				from: begin,
+				to:   begin.Add(2 * zoneDrainLimit),
+			},
+		},
+	}
+	requests := []request{
+		{
+			id:       "a",
+			instance: i,
+		},
+	}
+	var arrivals []prepared.Arrival
+	for _, after := range []time.Duration{zoneDrainLimit, zoneDrainLimit + time.Millisecond, 2*zoneDrainLimit + time.Millisecond} {
+		arrivals = append(arrivals, prepared.Arrival{
+			AttemptID: "a",
+			Target:    "i-1",
+			At:        begin.Add(after),
+		})
+	}
+	if got, want := len(checkDrainedZones(e, in, requests, arrivals)), 1; got != want {
+		t.Errorf("got %d violations, want %d", got, want)
+	}
+	i.faultTimes = []time.Time{begin.Add(zoneDrainLimit)}
+	if got, want := len(checkDrainedZones(e, in, requests, arrivals)), 0; got != want {
+		t.Errorf("after a fault: got %d violations, want %d", got, want)
+	}
+}
+
 // TestChecksDetectLeaversAndBackoff checks that requests which reach a target that said
 // that it leaves, or asked to be sent nothing, are reported, and that a restart of the
 // instance excuses them.
