Check before a send that the target is not drained

Cause: a call that was granted a target just before its data centre was drained was still sent, up to a second later. Change: the target's client refuses to send while its target is drained, as it does for targets that are leaving. The call counts as not sent and goes elsewhere; it is not held against the target. Figures: TestGrantedCallIsNotSentToDrainedTarget fails without the check.

--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/internal/control"
+	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
@@ -149,7 +150,7 @@
 // releaseFailed releases the lease of a failed attempt. An attempt that was cancelled,
 // because the caller disconnected or the other attempt of a hedgedPair was faster, is
 // not counted against the target, unless it was cancelled because the target sent
-// nothing in time.
+// nothing in time. Neither is one that was not sent because the target is drained.
 func (d *dispatch) releaseFailed(ctx context.Context, l *lease, e *tarragonwell.AttemptError, begin time.Time) {
 	result := scheduling.AttemptFailed
 	switch {
@@ -157,6 +158,8 @@
 		result = scheduling.AttemptMisdirected
 	case e.Stage == tarragonwell.StageRefused:
 		result = scheduling.AttemptRefused
+	case errors.Is(e.Err, target.ErrDrained):
+		result = scheduling.AttemptCancelled
 	case errors.Is(e.Err, context.Canceled) && !errors.Is(context.Cause(ctx), errStreamStalled):
 		result = scheduling.AttemptCancelled
 	}
--- a/internal/service/drained_test.go
+++ b/internal/service/drained_test.go
@@ -4,8 +4,10 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
 // drainableList returns a list with two targets, each in a data centre of its own, of which
@@ -112,3 +114,42 @@
 		})
 	}
 }
+
+// TestGrantedCallIsNotSentToDrainedTarget guards against a call that is sent to a target
+// whose data centre was drained after the grant, and against one that is not sent after the
+// end of the drain.
+func TestGrantedCallIsNotSentToDrainedTarget(t *testing.T) {
+	first, second := startScriptedTarget(t, respond), startScriptedTarget(t, respond)
+	f := startService(t)
+	call := &tarragonwell.Call{
+		Method:     http.MethodGet,
+		RequestURI: "/x",
+		Deadline:   time.Now().Add(callTimeout),
+		Route: &tarragonwell.Route{
+			Kind: &tarragonwell.Kind{
+				Name: "k",
+			},
+		},
+	}
+	f.SetTargets(drainableList(false, first, second)[:1])
+	l, rejection := f.acquire(f.ctx, scheduling.AcquireRequest{
+		Kind:     call.Route.Kind,
+		Deadline: call.Deadline,
+	})
+	if l == nil {
+		t.Fatalf("got rejection %+v, want a grant", rejection)
+	}
+	for _, drained := range []bool{true, false} {
+		f.SetTargets(drainableList(drained, first, second))
+		if _, err := f.Status(f.ctx); err != nil {
+			t.Fatal(err)
+		}
+		response, err := sendCall(f.ctx, l, call)
+		if response != nil {
+			_ = response.Body.Close()
+		}
+		if notSent := err != nil && err.Stage == tarragonwell.StageNotSent; notSent != drained {
+			t.Errorf("drained %v: got %v", drained, err)
+		}
+	}
+}
--- a/internal/service/notice.go
+++ b/internal/service/notice.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// restrictTarget tells a target's client what the target stated, for the calls that
-// were granted before.
+// restrictTarget tells a target's client what the target stated, and whether it is drained,
+// for the calls that were granted before.
 func (st *state) restrictTarget(id string) {
 	h := st.handles[id]
 	for _, t := range st.scheduler.Targets() {
@@ -87,6 +87,7 @@
 			h.target.Restrict(target.Restriction{
 				Leaving: t.LeavingReported,
 				Until:   t.BackoffUntil,
+				Drained: t.Drained,
 			})
 		}
 	}
--- a/internal/service/targets.go
+++ b/internal/service/targets.go
@@ -80,6 +80,12 @@
 		st.handles[l.ID] = dr.startTarget(ctx, st, targetTasks, l)
 		dr.recordChange("target-joined", l.ID, "platform")
 	}
+	for _, t := range st.scheduler.Targets() {
+		if h := st.handles[t.ID]; h.drained != t.Drained {
+			h.drained = t.Drained
+			st.restrictTarget(t.ID)
+		}
+	}
 	dr.logTargetAvailability(before, st.scheduler.Undrained())
 	st.configureProbeIntervals()
 }
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -115,6 +115,8 @@
 type targetHandle struct {
 	target *target.Client
 	stop   context.CancelFunc
+	// drained is set if the target's client was last told that it is drained.
+	drained bool
 }
 
 // New returns a dispatcher whose task has not been started.
--- a/internal/target/restriction.go
+++ b/internal/target/restriction.go
@@ -13,6 +13,8 @@
 	ErrLeaving = eris.New("the target is leaving")
 	// ErrBackoff means that nothing was sent because the target asked for it.
 	ErrBackoff = eris.New("the target asked to be sent nothing")
+	// ErrDrained means that nothing was sent because the target's data centre is drained.
+	ErrDrained = eris.New("the data centre of the target is drained")
 )
 
 // Restriction keeps a Client from sending anything. It covers calls that were granted
@@ -23,14 +25,18 @@
 	// Until is when the time for which the target asked to be sent nothing ends; zero if
 	// it did not ask.
 	Until time.Time
+	// Drained is set while the target's data centre is drained.
+	Drained bool
 }
 
-// restrictionError returns ErrLeaving or ErrBackoff if nothing may be sent now.
+// restrictionError returns ErrDrained, ErrLeaving or ErrBackoff if nothing may be sent now.
 func (cl *Client) restrictionError() error {
 	r := cl.restriction.Load()
 	switch {
 	case r == nil:
 		return nil
+	case r.Drained:
+		return ErrDrained
 	case r.Leaving:
 		return ErrLeaving
 	case cl.options.Common.Clock.Now().Before(r.Until):
