--- a/internal/instance/drains_test.go
+++ b/internal/instance/drains_test.go
@@ -270,6 +270,9 @@
 	f.read(t)
 	store.publish(lineDrain)
 	f.read(t)
+	if got, want := f.Drains()[0].GetSource(), "platform revision 4 and line 1 of the rules"; got != want {
+		t.Errorf("got source %q, want %q", got, want)
+	}
 	store.drain(false, "north")
 	f.read(t)
 	f.checkDrained(t, "by the rules alone", "i-north")
