--- a/pkg/tarragonwell/scheduling/drained.go
+++ b/pkg/tarragonwell/scheduling/drained.go
@@ -27,6 +27,9 @@
 // drained targets.
 func (s *Scheduler) undrainedInFlight() int {
 	n := s.inFlight
+	if s.undrained == len(s.targets) {
+		return n
+	}
 	for _, t := range s.targets {
 		if t.Drained {
 			n -= t.InFlight
