--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -57,6 +57,7 @@
 	listRevision uint64
 	instances    []tarragonwell.ListedInstance
 	refusal      refusal
+	drains       drainStatus
 }
 
 // refusal describes the rules file that was refused last.
@@ -93,6 +94,13 @@
 	invalidEntries map[string]bool
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
+	// resumeAfterFetch is set if the services resume after the pause when the fetch of the
+	// list in progress has ended.
+	resumeAfterFetch bool
+	// drains holds the drains that were last recorded.
+	drains drainStatus
+	// updatedFrom is the source of the latest update.
+	updatedFrom string
 }
 
 // fetchKind is the kind of a fetch from a peer.
@@ -134,6 +142,7 @@
 		mailbox: task.NewMailbox[any](mailboxSize),
 	}
 	rc.snapshot.Store(&snapshot{})
+	rc.registerDrainMetrics()
 	return rc
 }
 
@@ -218,6 +227,9 @@
 		if rc.applyUpdate(st, m) {
 			rc.reconcile(ctx, st, wg)
 		}
+		if st.resumeAfterFetch && !st.fetching[fetchList] {
+			rc.resume(st)
+		}
 	case changesSinceMessage:
 		m.reply <- st.changesSince(m.revision, m.rules)
 	case rulesHint:
@@ -227,10 +239,12 @@
 	case resyncRequest:
 		rc.resync(ctx, st)
 	case resyncDone:
-		st.resyncing = false
-		for _, r := range st.running {
-			r.dispatcher.ConfirmTargets()
+		if st.fetching[fetchList] {
+			// A peer has a newer list, which may have drains.
+			st.resumeAfterFetch = true
+			return
 		}
+		rc.resume(st)
 	case leavingAnnouncement:
 		if r := st.running[m.leaving.Service]; r != nil {
 			r.dispatcher.MarkLeaving(m.leaving, m.from)
@@ -241,6 +255,7 @@
 // applyUpdate applies the rules and the list of an update, in this order, and reports
 // whether either has changed.
 func (rc *reconciler) applyUpdate(st *reconcilerState, m updateMessage) bool {
+	st.updatedFrom = m.from
 	changed := m.update.Rules != nil && rc.applyRules(st, m.update.Rules, m.from)
 	rc.logInvalidEntries(st, &m.update)
 	if m.update.List != nil && rc.applyList(st, m.update.List, m.from) {
@@ -369,6 +384,7 @@
 		refusal:      st.refusal,
 		listRevision: st.list.Revision(),
 		instances:    st.list.Instances(),
+		drains:       st.drains,
 	}
 	if st.rules != nil {
 		snap.routing = rc.buildRouting(st, snap.services)
--- a/pkg/tarragonwell/scheduling/placement_probe.go
+++ b/pkg/tarragonwell/scheduling/placement_probe.go
@@ -40,14 +40,14 @@
 )
 
 // configurePlacementProbes sets the instance's share of the probe budget. The
-// budget is a rate per target, so that the probe load on the targets does not
+// budget is a rate per target that is not drained, so that the probe load on the targets does not
 // grow with the rate of calls.
 func (s *Scheduler) configurePlacementProbes() {
 	service := s.options.ServiceRule
 	if service.PlacementProbes <= 0 {
 		return
 	}
-	probesPerSecond := service.ProbeBudget * float64(len(s.targets)) / float64(max(1, s.options.BudgetDivisor))
+	probesPerSecond := service.ProbeBudget * float64(s.undrained) / float64(max(1, s.options.BudgetDivisor))
 	s.placementProbeRate = rate.Limit(probesPerSecond)
 	s.placementProbeBurst = max(service.PlacementProbes, int(probesPerSecond*placementProbeBurstTime.Seconds()))
 }
@@ -98,10 +98,10 @@
 // maxPlacementProbes returns the number of targets that may be probed before a call is placed.
 func (s *Scheduler) maxPlacementProbes() int {
 	probes := s.options.ServiceRule.PlacementProbes
-	if len(s.targets) == 0 {
+	if s.undrained == 0 {
 		return probes
 	}
-	slotsPerTarget := float64(s.totalSlots()) / float64(len(s.targets))
+	slotsPerTarget := float64(s.totalSlots()) / float64(s.undrained)
 	factor := min(maxProbeFactor, max(1, fewSlots/slotsPerTarget))
 	return int(factor * float64(probes))
 }
