--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"time"
 
@@ -69,6 +70,14 @@
 	// MaxTotalResponseBytes bounds the total size of the responses that are buffered at a
 	// time. Beyond it, responses are streamed.
 	MaxTotalResponseBytes int64
+	// MaxDescriptors bounds the open descriptors of the process; 0 stands for the limit of
+	// the operating system.
+	MaxDescriptors int
+	// MaxTotalHeadBytes bounds the memory for the request heads that are being read or are
+	// in flight.
+	MaxTotalHeadBytes int64
+	// MaxConnectionBytes bounds the memory for the open connections of callers.
+	MaxConnectionBytes int64
 	// MaxTickets bounds the outstanding tickets of operations, used or not.
 	MaxTickets int
 	// MaxOperationBytes bounds the total size of the retained responses to operations.
@@ -120,6 +129,8 @@
 	defaultMaxTotalRequestBytes   = 64 << 20
 	defaultMaxResponseBufferBytes = 256 << 10
 	defaultMaxTotalResponseBytes  = 16 << 20
+	defaultMaxTotalHeadBytes      = 64 << 20
+	defaultMaxConnectionBytes     = 256 << 20
 	defaultMaxTickets             = 200_000
 	defaultMaxOperationBytes      = 32 << 20
 	defaultAuditRecords           = 4096
@@ -127,6 +138,16 @@
 	defaultInstancesAtMost        = 16
 )
 
+const (
+	// minTotalHeadBytes leaves room for a head of 16 KiB with 4,000 lines.
+	minTotalHeadBytes = 4 << 20
+	// minConnectionBytes leaves room for some tens of connections.
+	minConnectionBytes = 1 << 20
+	// minDescriptors leaves callers half of the descriptors beside those that are reserved
+	// for targets, peers and files.
+	minDescriptors = 128
+)
+
 // ErrInvalid is joined with the errors of an invalid file, each of which is a
 // *yamldoc.FieldError.
 var ErrInvalid = eris.New("invalid settings")
@@ -186,6 +207,9 @@
 		MaxTotalRequestBytes:   orDefault(int64(m.GetLimits().GetHeldRequestBytes()), defaultMaxTotalRequestBytes),
 		MaxTotalResponseBytes:  orDefault(int64(m.GetLimits().GetHeldAnswerTotalBytes()), defaultMaxTotalResponseBytes),
 		MaxResponseBufferBytes: orDefault(int64(m.GetLimits().GetHeldAnswerBytes()), defaultMaxResponseBufferBytes),
+		MaxDescriptors:         int(m.GetLimits().GetDescriptors()),
+		MaxTotalHeadBytes:      orDefault(int64(m.GetLimits().GetHeldHeadBytes()), defaultMaxTotalHeadBytes),
+		MaxConnectionBytes:     orDefault(int64(m.GetLimits().GetHeldConnectionBytes()), defaultMaxConnectionBytes),
 		MaxTickets:             orDefault(int(m.GetLimits().GetOperations()), defaultMaxTickets),
 		MaxOperationBytes:      orDefault(int(m.GetLimits().GetOperationBytes()), defaultMaxOperationBytes),
 		AuditRecords:           orDefault(int(m.GetLimits().GetAuditRecords()), defaultAuditRecords),
@@ -236,6 +260,15 @@
 	if s.MaxRequestBodyBytes < 0 || s.MaxResponseBufferBytes < 0 || s.MaxTotalResponseBytes < 0 {
 		c.Fail("limits", "a size is out of range")
 	}
+	if s.MaxTotalHeadBytes < minTotalHeadBytes {
+		c.Fail("limits.held-head-bytes", fmt.Sprintf("want %d or more", minTotalHeadBytes))
+	}
+	if s.MaxConnectionBytes < minConnectionBytes {
+		c.Fail("limits.held-connection-bytes", fmt.Sprintf("want %d or more", minConnectionBytes))
+	}
+	if s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors {
+		c.Fail("limits.descriptors", fmt.Sprintf("want %d or more", minDescriptors))
+	}
 	c.OneOf("log.level", s.LogLevel, "debug", "info", "warn", "error")
 }
 
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -105,6 +105,11 @@
 	}
 }
 
+// PID returns the id of the process.
+func (p *Process) PID() int {
+	return p.command.Process.Pid
+}
+
 // Output returns the latest output of the process, stdout and stderr together.
 func (p *Process) Output() string {
 	p.output.mu.Lock()
