Bound the memory and the descriptors that callers take up before their calls

Cause: net/http reads and parses a head before the handler runs, with no limit on the lines of one head, on all heads together or on open connections, so a crowd of callers took a process above the memory of its machine. Change: the connections of callers are those of sockets.Guard. They reserve memory in HeadBytes and ConnectionBytes by an estimate of bytes and lines before net/http gets the bytes of a head, until the response is written, and return no byte beyond the end of a head or body with it, so that pipelined requests are counted too. admission.ConnectionTable decides which connections are closed to make room: silent, idle and slow ones, and large heads for small ones; no request in progress is cut. A head without room gets 503, one over the limit 431, and nothing was run for either. The limits on a head are 64 KiB and 10 s or, if they are higher, limits.headerBytes and limits.headerTimeout of the prepared platform. HTTP/2 without TLS is offered on tarragonwell's own protocol only, with limits. A call's header is copied without its values for each attempt.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -21,13 +21,12 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/operations"
+	"github.com/tarragonwell/tarragonwell/internal/sockets"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/rules"
 )
 
 const (
-	maxHeaderBytes = 64 << 10
-	headerTimeout  = 10 * time.Second
 	// resultGrace extends the wait for an operation's result beyond the deadline, so
 	// that a result that arrives just at the deadline is still delivered.
 	resultGrace = 100 * time.Millisecond
@@ -46,6 +45,8 @@
 	// requests wait for it, at most until startupWait after the start of the
 	// instance. If it is nil, they wait until then.
 	RoutingReady <-chan struct{}
+	// HTTP2 is set if HTTP/2 without TLS is offered beside HTTP/1.1.
+	HTTP2 bool
 	// Context ends all calls in progress, which are then answered; nil for none.
 	Context context.Context
 }
@@ -56,6 +57,8 @@
 	dialect      tarragonwell.CallerDialect
 	nextCallID   atomic.Uint64
 	callIDPrefix string
+	headLimits   headLimits
+	guard        *sockets.Guard
 }
 
 // NewServer returns a server with the given options.
@@ -63,27 +66,42 @@
 	if o.Dialect == nil {
 		o.Dialect = Dialect{}
 	}
-	return &Server{
+	s := &Server{
 		options:      o,
 		dialect:      o.Dialect,
 		callIDPrefix: hex.EncodeToString(o.Common.Incarnation[:6]),
 	}
+	s.guard = s.newGuard()
+	return s
 }
 
-// HTTP returns an HTTP server for HTTP/1.1 and HTTP/2 without TLS, to be run on a
-// listener.
+// HTTP returns an HTTP server for HTTP/1.1 and, if it is offered, HTTP/2 without TLS, to
+// be run on a listener of Listen.
 func (s *Server) HTTP() *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           s.Handler(),
+	protocols.SetUnencryptedHTTP2(s.options.HTTP2)
+	server := &http.Server{
+		Handler:           s.limitHTTP2Heads(s.Handler()),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          s.options.Common.Log.StandardLog(),
-		BaseContext:       s.baseContext,
-	}
+		// The guard applies the limit in force.
+		MaxHeaderBytes: maxHeadBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          http2Streams,
+			MaxReadFrameSize:              http2FrameBytes,
+			MaxReceiveBufferPerConnection: http2ReceiveBuffer,
+			MaxReceiveBufferPerStream:     http2ReceiveBuffer,
+		},
+		ErrorLog:    s.options.Common.Log.StandardLog(),
+		BaseContext: s.baseContext,
+	}
+	if s.options.HTTP2 {
+		// net/http has one limit for both protocols, and the guard does not see HTTP/2 heads.
+		server.MaxHeaderBytes = minHeadBytes
+	}
+	s.guard.Attach(server)
+	return server
 }
 
 // baseContext returns the context of all requests.
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -95,6 +95,8 @@
 func (c *Dependencies) SetBudgets(s *settingsfile.Settings) {
 	c.RequestBytes.Limit = s.MaxTotalRequestBytes
 	c.ResponseBytes.Limit = s.MaxTotalResponseBytes
+	c.HeadBytes.Limit = s.MaxTotalHeadBytes
+	c.ConnectionBytes.Limit = s.MaxConnectionBytes
 	for _, part := range []*ByteBudget{&c.RequestBytes, &c.HeadBytes, &c.ResponseBytes, &c.ConnectionBytes} {
 		part.Parent = &c.Memory
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -44,6 +44,8 @@
 	// Tickets enables tickets, which callers use for operations that must not be run
 	// twice.
 	Tickets bool
+	// HTTP2 offers HTTP/2 without TLS to callers.
+	HTTP2 bool
 }
 
 // DefaultAdapters returns the adapters of the default protocols (setting platform.kind:
@@ -57,6 +59,7 @@
 		Callers: caller.Dialect{},
 		Targets: target.Dialect{},
 		Tickets: true,
+		HTTP2:   true,
 	}
 }
 
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -116,16 +116,18 @@
 		peerServer.Operations = i.operations
 	}
 	callsCtx, endCalls := context.WithCancelCause(context.Background())
+	callers := caller.NewServer(caller.Options{
+		Common:         i.common,
+		Dialect:        i.adapters.Callers,
+		Operations:     i.operations,
+		CurrentRouting: i.routing,
+		RoutingReady:   i.bootstrapped,
+		HTTP2:          i.adapters.HTTP2,
+		Context:        callsCtx,
+	})
 	s := &servers{
-		endCalls: endCalls,
-		callers: caller.NewServer(caller.Options{
-			Common:         i.common,
-			Dialect:        i.adapters.Callers,
-			Operations:     i.operations,
-			CurrentRouting: i.routing,
-			RoutingReady:   i.bootstrapped,
-			Context:        callsCtx,
-		}).HTTP(),
+		endCalls:       endCalls,
+		callers:        callers.HTTP(),
 		callerListener: l.callers,
 		peers: &http.Server{
 			Handler:           peerServer.Handler(),
@@ -140,7 +142,7 @@
 			ErrorLog:          i.common.Log.StandardLog(),
 		},
 	}
-	wg.Go(func() { _ = s.callers.Serve(l.callers) })
+	wg.Go(func() { _ = s.callers.Serve(callers.Listen(l.callers)) })
 	wg.Go(func() { _ = s.peers.Serve(peer.CountListener(l.peers, i.common.Metrics)) })
 	wg.Go(func() { _ = s.operators.Serve(l.operators) })
 	if l.readiness != nil {
--- /dev/null
+++ b/internal/sockets/guard_test.go
@@ -0,0 +1,270 @@
+package sockets
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+)
+
+// guardFixture is a server behind a guard. Its handler echoes the body of a request, or waits
+// for release if the path is /wait.
+type guardFixture struct {
+	address     string
+	connections *common.ByteBudget
+	heads       *common.ByteBudget
+	maxBytes    atomic.Int64
+	// waiting counts the requests that wait for release.
+	waiting atomic.Int64
+	release chan struct{}
+}
+
+func startGuarded(t *testing.T, maxConnections int, headBytes int64) *guardFixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &guardFixture{
+		address:     l.Addr().String(),
+		connections: &common.ByteBudget{},
+		heads: &common.ByteBudget{
+			Limit: headBytes,
+		},
+		release: make(chan struct{}),
+	}
+	f.maxBytes.Store(64 << 10)
+	g := NewGuard(GuardOptions{
+		MaxConnections:  maxConnections,
+		ConnectionBytes: f.connections,
+		HeadBytes:       f.heads,
+		LargeHeadBytes: &common.ByteBudget{
+			Parent: f.heads,
+		},
+		Limits: func() HeadLimits {
+			return HeadLimits{
+				Bytes:   f.maxBytes.Load(),
+				Timeout: time.Minute,
+			}
+		},
+		ServerHeadTimeout: time.Minute,
+		Unavailable:       []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
+		TooLarge:          []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n\r\n"),
+		Clock:             common.SystemClock{},
+		Log:               log.New(io.Discard),
+		Metrics:           metrics.NewSet(),
+	})
+	server := &http.Server{
+		ReadHeaderTimeout: time.Minute,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/wait" {
+				f.waiting.Add(1)
+				<-f.release
+			}
+			// net/http reads no more of a body once a response has begun.
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				w.WriteHeader(http.StatusBadRequest)
+			}
+			_, _ = w.Write(body)
+		}),
+	}
+	g.Attach(server)
+	go func() { _ = server.Serve(g.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return f
+}
+
+// dial opens a connection that is closed at the end of the test.
+func (f *guardFixture) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+// send writes text. Errors are those of a connection that the guard has closed.
+func send(c net.Conn, text string) {
+	_, _ = io.WriteString(c, text)
+}
+
+// status reads a response and returns its status, or 0 if there is none.
+func status(c net.Conn) int {
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not so after 20 s", what)
+		}
+	}
+}
+
+func lines(n int) string {
+	return strings.Repeat("a:\r\n", n)
+}
+
+const get = "GET / HTTP/1.1\r\nHost: a\r\n"
+
+// TestGuardKeepsRequestsApart guards against a guard that loses, reorders or miscounts bytes
+// of requests that follow each other on a connection, however they are split, and against
+// memory that stays reserved afterwards.
+func TestGuardKeepsRequestsApart(t *testing.T) {
+	const rounds = 40
+	f := startGuarded(t, 0, 1<<20)
+	for seed := range uint64(rounds) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var text strings.Builder
+		var want []string
+		for range 1 + random.IntN(6) {
+			body := strings.Repeat("x\r\n", random.IntN(4000))
+			switch random.IntN(3) {
+			case 0:
+				body = ""
+				text.WriteString(get + lines(random.IntN(20)) + "\r\n")
+			case 1:
+				fmt.Fprintf(&text, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			default:
+				text.WriteString("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+				if body != "" {
+					fmt.Fprintf(&text, "%x;extension=1\r\n%s\r\n", len(body), body)
+				}
+				text.WriteString("0\r\n" + strings.Repeat("Trailer-Line: 1\r\n", random.IntN(3)) + "\r\n")
+			}
+			want = append(want, body)
+		}
+		c := f.dial(t)
+		go func() {
+			for rest := text.String(); rest != ""; {
+				n := min(len(rest), 1+random.IntN(5000))
+				send(c, rest[:n])
+				rest = rest[n:]
+			}
+		}()
+		r := bufio.NewReader(c)
+		for n := range want {
+			response, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("seed %d, response %d: %v", seed, n, err)
+			}
+			got, err := io.ReadAll(response.Body)
+			if err != nil || string(got) != want[n] || response.StatusCode != http.StatusOK {
+				t.Fatalf("seed %d, response %d: got status %d with %d bytes and %v, want 200 with %d", seed, n, response.StatusCode, len(got), err, len(want[n]))
+			}
+		}
+		_ = c.Close()
+	}
+	await(t, "nothing is reserved", func() bool { return f.heads.Reserved() == 0 && f.connections.Reserved() == 0 })
+}
+
+// TestHeadIsReservedUntilItsRequestEnds guards against heads in flight that are not counted,
+// so that others are received beyond the limit.
+func TestHeadIsReservedUntilItsRequestEnds(t *testing.T) {
+	f := startGuarded(t, 0, 1<<20)
+	head := "GET /wait HTTP/1.1\r\nHost: a\r\n" + lines(2000) + "\r\n"
+	first := f.dial(t)
+	send(first, head)
+	await(t, "the first request is handled", func() bool { return f.waiting.Load() == 1 })
+	second := f.dial(t)
+	send(second, head)
+	if got, want := status(second), http.StatusServiceUnavailable; got != want {
+		t.Errorf("second head: got status %d, want %d", got, want)
+	}
+	small := f.dial(t)
+	send(small, get+"\r\n")
+	if got, want := status(small), http.StatusOK; got != want {
+		t.Errorf("small head: got status %d, want %d", got, want)
+	}
+	close(f.release)
+	if got, want := status(first), http.StatusOK; got != want {
+		t.Errorf("first head: got status %d, want %d", got, want)
+	}
+}
+
+// TestFullAccountRejectsHeads guards against heads that are received although bodies have
+// taken all memory, and against callers that get no response then.
+func TestFullAccountRejectsHeads(t *testing.T) {
+	f := startGuarded(t, 0, 0)
+	memory := &common.ByteBudget{
+		Limit: 1 << 20,
+	}
+	f.heads.Parent = memory
+	if !memory.Reserve(1 << 20) {
+		t.Fatal("reserve: got false, want true")
+	}
+	c := f.dial(t)
+	send(c, get+"\r\n")
+	if got, want := status(c), http.StatusServiceUnavailable; got != want {
+		t.Errorf("while the memory is taken: got status %d, want %d", got, want)
+	}
+	memory.Release(1 << 20)
+	c = f.dial(t)
+	send(c, get+"\r\n")
+	if got, want := status(c), http.StatusOK; got != want {
+		t.Errorf("afterwards: got status %d, want %d", got, want)
+	}
+}
+
+// TestHeadLimitAppliesToNewHeads guards against a head that is refused because the limit was
+// lowered while it was received.
+func TestHeadLimitAppliesToNewHeads(t *testing.T) {
+	f := startGuarded(t, 0, 0)
+	c := f.dial(t)
+	send(c, get)
+	await(t, "a part of the head is received", func() bool { return f.heads.Reserved() > 0 })
+	f.maxBytes.Store(1000)
+	send(c, lines(1000)+"\r\n")
+	if got, want := status(c), http.StatusOK; got != want {
+		t.Errorf("head that was begun before: got status %d, want %d", got, want)
+	}
+	send(c, get+lines(1000)+"\r\n")
+	if got, want := status(c), http.StatusRequestHeaderFieldsTooLarge; got != want {
+		t.Errorf("next head: got status %d, want %d", got, want)
+	}
+}
+
+// TestIdleConnectionIsClosedForNewOne guards against callers that are locked out by
+// connections that are open and not used.
+func TestIdleConnectionIsClosedForNewOne(t *testing.T) {
+	const limit = 5
+	f := startGuarded(t, limit, 0)
+	var idle []net.Conn
+	for range limit {
+		c := f.dial(t)
+		send(c, get+"\r\n")
+		if got, want := status(c), http.StatusOK; got != want {
+			t.Fatalf("status: got %d, want %d", got, want)
+		}
+		idle = append(idle, c)
+	}
+	await(t, "another caller is answered", func() bool {
+		c := f.dial(t)
+		send(c, get+"\r\n")
+		return status(c) == http.StatusOK
+	})
+	if _, err := idle[0].Read(make([]byte, 1)); err == nil {
+		t.Error("the connection that was idle for longest: got a byte, want an error")
+	}
+}
--- /dev/null
+++ b/internal/sockets/guarded_conn.go
@@ -0,0 +1,258 @@
+package sockets
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
+)
+
+const (
+	// respondTimeout bounds the write of a response to a head that is not received, and the
+	// time for which bytes that have arrived are discarded afterwards. The kernel would
+	// otherwise reset the connection before the caller has read the response.
+	respondTimeout  = 50 * time.Millisecond
+	maxDiscardBytes = 64 << 10
+)
+
+// errRefused is the error of a body whose trailer exceeds the memory that is left.
+var errRefused = eris.New("the trailer exceeds the memory that is left")
+
+// refusal is the error of a head that exceeds the limits.
+type refusal struct {
+	// response is written to the caller.
+	response []byte
+}
+
+// Error implements error.
+func (*refusal) Error() string {
+	return "the head exceeds the limits"
+}
+
+// guardedConn is a connection of a Guard. Read returns no byte of a head before memory is
+// reserved for it, and none beyond the end of a head or a body with it, so that the next head
+// is counted from its first byte.
+type guardedConn struct {
+	net.Conn
+	guard *Guard
+	// entry is the connection's place in the table, which is guarded by guard.mu.
+	entry *admission.Connection
+
+	// mu guards the fields below, but is not held while Read waits for the socket: net/http
+	// reads a single byte while a request without a body is handled.
+	mu sync.Mutex
+	// pending holds bytes that were received and not yet returned.
+	pending []byte
+	head    headScanner
+	body    bodyScanner
+	// maxHeadBytes is the limit on the current head.
+	maxHeadBytes int64
+	// unreserved is the cost of bytes that were returned and not yet reserved.
+	unreserved int64
+	http2      bool
+}
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	n, err := c.receive(p)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	k, admitErr := c.admit(p[:n], len(p) == 1)
+	if k < n {
+		c.pending = append(bytes.Clone(p[k:n]), c.pending...)
+		err = nil
+	}
+	c.mu.Unlock()
+	if admitErr != nil {
+		return 0, c.refuse(admitErr)
+	}
+	return k, err
+}
+
+// receive returns pending bytes or, if there are none, bytes of the socket.
+func (c *guardedConn) receive(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.pending) > 0 {
+		n := copy(p, c.pending)
+		c.pending = c.pending[n:]
+		if len(c.pending) == 0 {
+			c.pending = nil
+		}
+		c.mu.Unlock()
+		return n, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(p)
+}
+
+// admit returns how many of the bytes belong to the current head or body. It fails with a
+// *refusal if they are refused. A single byte that does not end a head is
+// never refused, as net/http may read it while it writes the response of the request before;
+// its cost is reserved with the next bytes.
+func (c *guardedConn) admit(p []byte, single bool) (n int, err error) {
+	if c.http2 {
+		return len(p), nil
+	}
+	if !c.body.ended() {
+		return c.admitBody(p)
+	}
+	if c.head.bytes == 0 {
+		c.maxHeadBytes = c.guard.options.Limits().Bytes
+	}
+	lines := c.head.lines
+	n, ended := c.head.scan(p)
+	c.unreserved += admission.HeadCost(int64(n), c.head.lines-lines)
+	if single && !ended {
+		return n, nil
+	}
+	if c.head.bytes > c.maxHeadBytes {
+		c.guard.refusedTooLarge.Inc()
+		return n, &refusal{
+			response: c.guard.options.TooLarge,
+		}
+	}
+	if !c.guard.receiveHead(c, c.unreserved) {
+		return n, c.outOfMemory()
+	}
+	c.unreserved = 0
+	if !ended {
+		return n, nil
+	}
+	return n, c.endHead()
+}
+
+// admitBody is admit for a request's body. Its memory is reserved elsewhere, except that of a
+// trailer, which net/http adds to the header.
+func (c *guardedConn) admitBody(p []byte) (n int, err error) {
+	before := c.body.trailer
+	n = c.body.scan(p)
+	cost := admission.HeadCost(c.body.trailer.bytes-before.bytes, c.body.trailer.lines-before.lines)
+	if cost <= 0 || c.guard.receiveTrailer(c, cost) {
+		return n, nil
+	}
+	c.guard.refusedMemory.Inc()
+	return 0, errRefused
+}
+
+// endHead begins the request whose head has ended. It fails with a *refusal if there is no
+// room for a connection that uses HTTP/2.
+func (c *guardedConn) endHead() error {
+	isHTTP2 := c.head.isHTTP2() && c.guard.options.HTTP2
+	c.head = headScanner{}
+	now := c.guard.options.Clock.Now()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if !isHTTP2 {
+		c.guard.table.BeginRequest(c.entry, now)
+		return nil
+	}
+	c.http2 = true
+	if !c.guard.table.Resize(c.entry, http2ConnectionCost, now) {
+		return c.outOfMemory()
+	}
+	return nil
+}
+
+// outOfMemory returns the error for a head that does not fit into the memory that is left.
+func (c *guardedConn) outOfMemory() *refusal {
+	c.guard.refusedMemory.Inc()
+	return &refusal{
+		response: c.guard.options.Unavailable,
+	}
+}
+
+// beginBody is called before a request is handled. What is received next is its body.
+func (c *guardedConn) beginBody(r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.http2 && r.ContentLength != 0 {
+		c.body = newBodyScanner(r.ContentLength)
+	}
+}
+
+// endRequest is called when a response was written whole and the connection stays open.
+func (c *guardedConn) endRequest() {
+	c.mu.Lock()
+	isHTTP2 := c.http2
+	c.mu.Unlock()
+	if isHTTP2 {
+		return
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.EndRequest(c.entry, c.guard.options.Clock.Now())
+}
+
+// refuse ends a connection because of an error of admit. For a head, it writes the response and
+// closes the connection; for a body, the request's handler responds. It returns an error for
+// which net/http writes no response of its own.
+func (c *guardedConn) refuse(err error) error {
+	c.guard.logClosed(1, c.guard.options.Clock.Now())
+	var head *refusal
+	if errors.As(err, &head) {
+		respond(c.Conn, head.response)
+		_ = c.Close()
+	}
+	return &net.OpError{
+		Op:     "read",
+		Net:    "tcp",
+		Source: c.LocalAddr(),
+		Addr:   c.RemoteAddr(),
+		Err:    err,
+	}
+}
+
+// respond writes a response to a connection that is about to be closed. Its errors are those
+// of a caller that has left.
+func respond(c net.Conn, response []byte) {
+	end := time.Now().Add(respondTimeout)
+	_ = c.SetDeadline(end)
+	if _, err := c.Write(response); err != nil {
+		return
+	}
+	if x, ok := c.(writeCloser); ok {
+		_ = x.CloseWrite()
+	}
+	_, _ = io.CopyN(io.Discard, c, maxDiscardBytes)
+}
+
+// writeCloser is implemented by *net.TCPConn.
+type writeCloser interface {
+	CloseWrite() error
+}
+
+// SetReadDeadline implements net.Conn. It extends the deadline that net/http sets for a head
+// if the limit on heads is longer.
+func (c *guardedConn) SetReadDeadline(t time.Time) error {
+	if extra := c.guard.options.Limits().Timeout - c.guard.options.ServerHeadTimeout; extra > 0 && time.Until(t) > 0 {
+		t = t.Add(extra)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the connection for writing. net/http calls it before it closes a
+// connection whose caller may still send.
+func (c *guardedConn) CloseWrite() error {
+	if x, ok := c.Conn.(writeCloser); ok {
+		return x.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. It releases what is reserved for the connection.
+func (c *guardedConn) Close() error {
+	err := c.Conn.Close()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.Close(c.entry)
+	return err
+}
--- a/internal/target/headers.go
+++ b/internal/target/headers.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"maps"
 	"net/http"
 	"strings"
 )
@@ -43,10 +44,10 @@
 // service decides on retries. Targets therefore never receive them.
 var idempotencyKeyHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
-// ForwardableHeader returns a copy of h without hop-by-hop headers. It never returns
-// nil.
+// ForwardableHeader returns a copy of h without hop-by-hop headers. The copy shares the
+// values of h, which must not be changed in place. It never returns nil.
 func ForwardableHeader(h http.Header) http.Header {
-	out := h.Clone()
+	out := maps.Clone(h)
 	if out == nil {
 		out = http.Header{}
 	}
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -60,6 +60,10 @@
 	// RequestBodyBytes is the maximum size of a request body; 0 selects the limit of
 	// the settings file.
 	RequestBodyBytes int64
+	// HeadBytes is the size up to which every request head is received; 0 for no statement.
+	HeadBytes int64
+	// HeadTimeout is the time within which callers send their heads; 0 for no statement.
+	HeadTimeout time.Duration
 }
 
 // RuleLine is the source of one rule.
--- a/test/abuse/abuse_test.go
+++ b/test/abuse/abuse_test.go
@@ -30,8 +30,10 @@
 	// descriptors is the limit that the settings set.
 	descriptors = 200
 	// settings are the lowered limits.
-	settings = `limits: {descriptors: 200, held-head-bytes: 6291456, held-connection-bytes: 8388608, request-body-bytes: 65536, held-request-bytes: 1048576}
+	settings = `limits: {descriptors: %d, held-head-bytes: 6291456, held-connection-bytes: 8388608, request-body-bytes: 65536, held-request-bytes: 1048576}
 log: {level: error}`
+	// manyDescriptors replaces the limit where memory is to be the limit.
+	manyDescriptors = 2000
 	// maxResidentBytes is twice what the settings allow callers (15 MiB), as the heap may
 	// double between two collections, and 66 MiB for the process itself.
 	maxResidentBytes = 96 << 20
@@ -63,9 +65,8 @@
 	os.Exit(code)
 }
 
-// start starts an instance with one target, which is frozen, and closes both at the end of
-// the test.
-func start(t *testing.T, n byte) *fleet.Fleet {
+// start starts an instance with one target, and closes both at the end of the test.
+func start(t *testing.T, n byte, descriptors int) *fleet.Fleet {
 	t.Helper()
 	f, err := fleet.Start(fleet.Options{
 		Program:   program,
@@ -82,7 +83,7 @@
 			Connections: 250,
 			ServiceMs:   1,
 		},
-		Settings: settings,
+		Settings: fmt.Sprintf(settings, descriptors),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -91,14 +92,21 @@
 	return f
 }
 
+// freeze freezes or thaws the targets. Requests are held while they are frozen.
+func freeze(f *fleet.Fleet, frozen bool) {
+	for _, x := range f.Targets["reads"] {
+		x.UpdateBehaviour(func(b *target.Behaviour) { b.Frozen = frozen })
+	}
+}
+
 // TestCrowdsAreWithstood guards against a process that abusive callers end, or bring above
 // the memory or the descriptors of its machine, and against one that answers nobody after
 // they have left.
 func TestCrowdsAreWithstood(t *testing.T) {
 	for a := range abusive.Attacks {
 		t.Run(a.String(), func(t *testing.T) {
-			f := start(t, byte(a)+1)
-			f.Targets["reads"][0].UpdateBehaviour(func(b *target.Behaviour) { b.Frozen = true })
+			f := start(t, byte(a)+1, descriptors)
+			freeze(f, true)
 			crowd := &abusive.Crowd{
 				Address: f.Instances[0].CallerAddress(),
 				Path:    "/a",
@@ -108,7 +116,24 @@
 			if a == abusive.HTTP2Streams {
 				crowd.Callers = http2Connections
 			}
-			play(t, f, crowd)
+			play(t, f, descriptors, crowd)
+		})
+	}
+}
+
+// TestManyHeadsAreWithstood guards against heads whose memory is bounded by the number of
+// connections alone.
+func TestManyHeadsAreWithstood(t *testing.T) {
+	for n, a := range []abusive.Attack{abusive.ManyLines, abusive.ManyLinesHeld, abusive.SuccessiveConnections} {
+		t.Run(a.String(), func(t *testing.T) {
+			f := start(t, byte(abusive.Attacks)+3+byte(n), manyDescriptors)
+			freeze(f, true)
+			play(t, f, manyDescriptors, &abusive.Crowd{
+				Address: f.Instances[0].CallerAddress(),
+				Path:    "/a",
+				Callers: callers,
+				Attack:  a,
+			})
 		})
 	}
 }
@@ -116,7 +141,7 @@
 // TestMixedCrowdsAreWithstood guards against limits that hold for each kind of abuse and not
 // for several at a time: slow heads, heads of many lines and silent connections.
 func TestMixedCrowdsAreWithstood(t *testing.T) {
-	f := start(t, byte(abusive.Attacks)+1)
+	f := start(t, byte(abusive.Attacks)+1, descriptors)
 	var crowds []*abusive.Crowd
 	for _, a := range []abusive.Attack{abusive.SlowHead, abusive.ManyLines, abusive.ManyLinesHeld, abusive.Silent} {
 		crowds = append(crowds, &abusive.Crowd{
@@ -126,13 +151,14 @@
 			Attack:  a,
 		})
 	}
-	play(t, f, crowds...)
+	freeze(f, true)
+	play(t, f, descriptors, crowds...)
 }
 
 // TestLargestHeadIsServed guards against limits that a caller within the limits of the
 // configuration reaches: a head of 16,384 bytes with thousands of lines.
 func TestLargestHeadIsServed(t *testing.T) {
-	f := start(t, byte(abusive.Attacks)+2)
+	f := start(t, byte(abusive.Attacks)+2, descriptors)
 	crowd := &abusive.Crowd{
 		Path:   "/a",
 		Header: "Connection: close\r\n",
@@ -145,7 +171,7 @@
 }
 
 // play plays crowds and checks the process while they last and afterwards.
-func play(t *testing.T, f *fleet.Fleet, crowds ...*abusive.Crowd) {
+func play(t *testing.T, f *fleet.Fleet, descriptors int, crowds ...*abusive.Crowd) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
 	defer cancel()
@@ -181,9 +207,7 @@
 	if open > descriptors {
 		t.Errorf("descriptors: got %d, want at most %d", open, descriptors)
 	}
-	for _, x := range f.Targets["reads"] {
-		x.UpdateBehaviour(func(b *target.Behaviour) { b.Frozen = false })
-	}
+	freeze(f, false)
 	if err := awaitAnswer(f.Instances[0].CallerAddress()); err != nil {
 		t.Error(err)
 	}
