--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -18,7 +18,8 @@
 const (
 	// minHeadBytes and headerTimeout are the limits on a head unless the rules allow more. A
 	// head is not held to lower limits of the rules, as an instance may not yet have read
-	// rules that allow it.
+	// rules that allow it; only where there is no room are heads given up that take longer
+	// than the rules allow.
 	minHeadBytes  = 64 << 10
 	headerTimeout = 10 * time.Second
 	// maxHeadBytes and maxHeaderTimeout cap what the rules can allow.
@@ -62,9 +63,15 @@
 	if r := s.options.CurrentRouting(); r != nil {
 		s.headLimits.raise(r.Rules.Limits)
 	}
+	stated := time.Duration(s.headLimits.timeout.Load())
+	slowAfter := headerTimeout
+	if stated > 0 {
+		slowAfter = stated
+	}
 	return sockets.HeadLimits{
-		Bytes:   max(minHeadBytes, s.headLimits.bytes.Load()) + headSlop,
-		Timeout: max(headerTimeout, time.Duration(s.headLimits.timeout.Load())),
+		Bytes:     max(minHeadBytes, s.headLimits.bytes.Load()) + headSlop,
+		Timeout:   max(headerTimeout, stated),
+		SlowAfter: slowAfter,
 	}
 }
 
--- a/internal/sockets/guard.go
+++ b/internal/sockets/guard.go
@@ -31,6 +31,9 @@
 	Bytes int64
 	// Timeout is the maximum time from the first byte to the last.
 	Timeout time.Duration
+	// SlowAfter is the time after which a head may be given up to make room for others; at
+	// most Timeout.
+	SlowAfter time.Duration
 }
 
 // GuardOptions configures a Guard.
@@ -156,13 +159,13 @@
 // open admits a connection, or closes it and returns nil.
 func (g *Guard) open(c net.Conn) *guardedConn {
 	now := g.options.Clock.Now()
-	limits := g.options.Limits()
+	slowAfter := g.options.Limits().SlowAfter
 	x := &guardedConn{
 		Conn:  c,
 		guard: g,
 	}
 	g.mu.Lock()
-	entry, closed := g.table.Open(now, limits.Timeout)
+	entry, closed := g.table.Open(now, slowAfter)
 	if entry != nil {
 		entry.Owner = x
 		x.entry = entry
@@ -184,9 +187,9 @@
 
 // receiveHead reserves memory for a further part of a connection's head.
 func (g *Guard) receiveHead(c *guardedConn, cost int64) bool {
-	timeout := g.options.Limits().Timeout
+	slowAfter := g.options.Limits().SlowAfter
 	g.mu.Lock()
-	closed, ok := g.table.ReceiveHead(c.entry, cost, g.options.Clock.Now(), timeout)
+	closed, ok := g.table.ReceiveHead(c.entry, cost, g.options.Clock.Now(), slowAfter)
 	g.mu.Unlock()
 	g.closeAll(closed)
 	return ok
--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -54,8 +54,9 @@
 		},
 		Limits: func() HeadLimits {
 			return HeadLimits{
-				Bytes:   f.maxBytes.Load(),
-				Timeout: time.Minute,
+				Bytes:     f.maxBytes.Load(),
+				Timeout:   time.Minute,
+				SlowAfter: time.Minute,
 			}
 		},
 		ServerHeadTimeout: time.Minute,
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -25,6 +25,9 @@
 // errRefused is the error of a body whose trailer exceeds the memory that is left.
 var errRefused = eris.New("the trailer exceeds the memory that is left")
 
+// errClosed is the error of a head that was received whole just as its connection was closed.
+var errClosed = eris.New("the connection was closed to make room")
+
 // refusal is the error of a head that exceeds the limits.
 type refusal struct {
 	// response is written to the caller.
@@ -94,8 +97,8 @@
 	return c.Conn.Read(p)
 }
 
-// admit returns how many of the bytes belong to the current head or body. It fails with a
-// *refusal if they are refused. A single byte that does not end a head is
+// admit returns how many of the bytes belong to the current head or body. It fails if they
+// are refused, with a *refusal if the caller is to get a response. A single byte that does not end a head is
 // never refused, as net/http may read it while it writes the response of the request before;
 // its cost is reserved with the next bytes.
 func (c *guardedConn) admit(p []byte, single bool) (n int, err error) {
@@ -143,8 +146,8 @@
 	return 0, errRefused
 }
 
-// endHead begins the request whose head has ended. It fails with a *refusal if there is no
-// room for a connection that uses HTTP/2.
+// endHead begins the request whose head has ended. It fails if the connection was closed to
+// make room, or if there is no room for one that uses HTTP/2.
 func (c *guardedConn) endHead() error {
 	isHTTP2 := c.head.isHTTP2() && c.guard.options.HTTP2
 	c.head = headScanner{}
@@ -152,7 +155,9 @@
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	if !isHTTP2 {
-		c.guard.table.BeginRequest(c.entry, now)
+		if !c.guard.table.BeginRequest(c.entry, now) {
+			return errClosed
+		}
 		return nil
 	}
 	c.http2 = true
--- a/pkg/settingsfile/settings_test.go
+++ b/pkg/settingsfile/settings_test.go
@@ -65,6 +65,21 @@
 			content: validSettings + "log: {level: loud}\n",
 			want:    "f:7: log.level: want one of",
 		},
+		{
+			name:    "memory for heads",
+			content: validSettings + "limits: {held-head-bytes: 1000}\n",
+			want:    "f:7: limits.held-head-bytes: want 4194304 or more",
+		},
+		{
+			name:    "memory for connections",
+			content: validSettings + "limits: {held-connection-bytes: 18446744073709551615}\n",
+			want:    "f:7: limits.held-connection-bytes: want 1048576 or more",
+		},
+		{
+			name:    "descriptors",
+			content: validSettings + "limits: {descriptors: 100}\n",
+			want:    "f:7: limits.descriptors: want 128 or more",
+		},
 		{
 			name:    "seeds",
 			content: validSettings + "peers: {seeds: 3}\n",
--- a/pkg/tarragonwell/admission/connections.go
+++ b/pkg/tarragonwell/admission/connections.go
@@ -43,7 +43,7 @@
 	CloseSilent CloseReason = iota
 	// CloseIdle is for connections that wait for their next request.
 	CloseIdle
-	// CloseSlowHead is for heads that were begun before the time limit for heads.
+	// CloseSlowHead is for heads that take longer than callers are allowed.
 	CloseSlowHead
 	// CloseLargeHead is for heads that are not small.
 	CloseLargeHead
@@ -132,10 +132,10 @@
 }
 
 // Open adds a connection. It returns nil if there is no room for it. The connections in
-// closed are to be closed. headTimeout is the time limit for a head.
-func (t *ConnectionTable) Open(now time.Time, headTimeout time.Duration) (c *Connection, closed []ClosedConnection) {
+// closed are to be closed. slowAfter is the time after which a head counts as slow.
+func (t *ConnectionTable) Open(now time.Time, slowAfter time.Duration) (c *Connection, closed []ClosedConnection) {
 	for t.full() || !t.Connections.Reserve(t.ConnectionCost) {
-		x, ok := t.closeWaiting(now, headTimeout)
+		x, ok := t.closeWaiting(now, slowAfter)
 		if !ok {
 			return nil, closed
 		}
@@ -161,7 +161,7 @@
 // ReceiveHead reserves memory for a further part of a connection's head. If it returns false
 // the connection must be closed. Large heads give way to small ones, the newest first, and
 // slow heads to others.
-func (t *ConnectionTable) ReceiveHead(c *Connection, cost int64, now time.Time, headTimeout time.Duration) (closed []ClosedConnection, ok bool) {
+func (t *ConnectionTable) ReceiveHead(c *Connection, cost int64, now time.Time, slowAfter time.Duration) (closed []ClosedConnection, ok bool) {
 	if c.state == stateClosed {
 		return nil, false
 	}
@@ -169,7 +169,7 @@
 		t.enter(c, stateReading, now)
 	}
 	for !t.reserveHead(c, cost) {
-		x, ok := t.closeReading(c, cost, now, headTimeout)
+		x, ok := t.closeReading(c, cost, now, slowAfter)
 		if !ok {
 			return closed, false
 		}
@@ -203,11 +203,14 @@
 }
 
 // BeginRequest records that a head was received whole and its request begins. What is
-// reserved for it stays reserved until EndRequest or Close.
-func (t *ConnectionTable) BeginRequest(c *Connection, now time.Time) {
-	if c.state != stateClosed {
-		t.enter(c, stateBusy, now)
+// reserved for it stays reserved until EndRequest or Close. It returns false if the connection
+// was closed meanwhile; the request must not be handled then.
+func (t *ConnectionTable) BeginRequest(c *Connection, now time.Time) bool {
+	if c.state == stateClosed {
+		return false
 	}
+	t.enter(c, stateBusy, now)
+	return true
 }
 
 // ReceiveTrailer reserves memory for a part of the trailer of a request in progress. If it
@@ -257,33 +260,33 @@
 }
 
 // closeWaiting closes a connection to make room for a new one: one that was silent for a
-// while, the one that is idle for longest, or one whose head exceeds the time limit.
-func (t *ConnectionTable) closeWaiting(now time.Time, headTimeout time.Duration) (ClosedConnection, bool) {
+// while, the one that is idle for longest, or one whose head is slow.
+func (t *ConnectionTable) closeWaiting(now time.Time, slowAfter time.Duration) (ClosedConnection, bool) {
 	if c := first(&t.silent); c != nil && now.Sub(c.since) >= silentGrace {
 		return t.makeRoom(c, CloseSilent), true
 	}
 	if c := first(&t.idle); c != nil && now.Sub(c.since) >= idleGrace {
 		return t.makeRoom(c, CloseIdle), true
 	}
-	return t.closeSlowHead(nil, now, headTimeout)
+	return t.closeSlowHead(nil, now, slowAfter)
 }
 
 // closeReading closes a connection whose head is being received, to make room for a further
 // part of that of c. A large head makes no room for a large one.
-func (t *ConnectionTable) closeReading(c *Connection, cost int64, now time.Time, headTimeout time.Duration) (ClosedConnection, bool) {
+func (t *ConnectionTable) closeReading(c *Connection, cost int64, now time.Time, slowAfter time.Duration) (ClosedConnection, bool) {
 	if c.headCost+cost <= SmallHeadCost {
 		if e := t.large.Back(); e != nil {
 			return t.makeRoom(e.Value.(*Connection), CloseLargeHead), true
 		}
 	}
-	return t.closeSlowHead(c, now, headTimeout)
+	return t.closeSlowHead(c, now, slowAfter)
 }
 
-// closeSlowHead closes the connection whose head was begun first, unless it is c, if that was
-// before the time limit.
-func (t *ConnectionTable) closeSlowHead(c *Connection, now time.Time, headTimeout time.Duration) (ClosedConnection, bool) {
+// closeSlowHead closes the connection whose head was begun first, if it is slow and not that
+// of c.
+func (t *ConnectionTable) closeSlowHead(c *Connection, now time.Time, slowAfter time.Duration) (ClosedConnection, bool) {
 	x := first(&t.reading)
-	if x == nil || x == c || now.Sub(x.since) < headTimeout {
+	if x == nil || x == c || now.Sub(x.since) < slowAfter {
 		return ClosedConnection{}, false
 	}
 	return t.makeRoom(x, CloseSlowHead), true
--- a/pkg/tarragonwell/admission/connections_test.go
+++ b/pkg/tarragonwell/admission/connections_test.go
@@ -57,7 +57,7 @@
 	return f
 }
 
-const testHeadTimeout = 3 * time.Second
+const testSlowAfter = 3 * time.Second
 
 // at returns a time in seconds after the start of a test.
 func at(seconds float64) time.Time {
@@ -67,7 +67,7 @@
 // open opens a connection and checks which connections are closed for it.
 func (f *fixture) open(t *testing.T, now time.Time, want ...CloseReason) *Connection {
 	t.Helper()
-	c, closed := f.table.Open(now, testHeadTimeout)
+	c, closed := f.table.Open(now, testSlowAfter)
 	checkReasons(t, closed, want)
 	return c
 }
@@ -75,7 +75,7 @@
 // receive receives a part of a head and checks the result.
 func (f *fixture) receive(t *testing.T, c *Connection, cost int64, now time.Time, wantOK bool, want ...CloseReason) {
 	t.Helper()
-	closed, ok := f.table.ReceiveHead(c, cost, now, testHeadTimeout)
+	closed, ok := f.table.ReceiveHead(c, cost, now, testSlowAfter)
 	if ok != wantOK {
 		t.Errorf("head of %d: got %v, want %v", cost, ok, wantOK)
 	}
@@ -167,7 +167,9 @@
 	for _, x := range []*Connection{a, b, c, a} {
 		f.table.EndRequest(x, at(1))
 		f.table.Close(x)
-		f.table.BeginRequest(x, at(1))
+		if f.table.BeginRequest(x, at(1)) {
+			t.Error("request on a closed connection: got true, want false")
+		}
 	}
 	if got := f.heads.reserved + f.connections.reserved + int64(f.table.OpenCount()); got != 0 {
 		t.Errorf("reserved: got %d, want 0", got)
