Close idle HTTP/2 connections to make room

Cause: an HTTP/2 connection counted as in use until it ended, so callers that kept such connections open without streams locked out others. Change: an HTTP/2 connection without open streams counts as idle. The new test fails without the change (no answer within 20 s).

--- a/internal/sockets/guard.go
+++ b/internal/sockets/guard.go
@@ -117,8 +117,8 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		if x, ok := c.(*guardedConn); ok && state == http.StateIdle {
-			x.endRequest()
+		if x, ok := c.(*guardedConn); ok {
+			x.setState(state)
 		}
 	}
 	next := s.Handler
--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -62,11 +62,16 @@
 		ServerHeadTimeout: time.Minute,
 		Unavailable:       []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
 		TooLarge:          []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n\r\n"),
+		HTTP2:             true,
 		Clock:             common.SystemClock{},
 		Log:               log.New(io.Discard),
 		Metrics:           metrics.NewSet(),
 	})
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
+		Protocols:         protocols,
 		ReadHeaderTimeout: time.Minute,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/wait" {
@@ -269,3 +274,46 @@
 		t.Error("the connection that was idle for longest: got a byte, want an error")
 	}
 }
+
+// TestIdleHTTP2ConnectionIsClosedForNewOne guards against callers that are locked out by
+// HTTP/2 connections without streams, and against closing one whose stream is in progress.
+func TestIdleHTTP2ConnectionIsClosedForNewOne(t *testing.T) {
+	f := startGuarded(t, 2, 0)
+	answered := make(chan error, 1)
+	for _, path := range []string{"/wait", "/"} {
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		transport := &http.Transport{
+			Protocols: protocols,
+		}
+		defer transport.CloseIdleConnections()
+		r, err := http.NewRequest(http.MethodGet, "http://"+f.address+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchange := func() error {
+			response, err := transport.RoundTrip(r)
+			if err != nil {
+				return err
+			}
+			return response.Body.Close()
+		}
+		if path == "/" {
+			if err := exchange(); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		go func() { answered <- exchange() }()
+		await(t, "the stream is handled", func() bool { return f.waiting.Load() == 1 })
+	}
+	await(t, "another caller is answered", func() bool {
+		c := f.dial(t)
+		send(c, get+"\r\n")
+		return status(c) == http.StatusOK
+	})
+	close(f.release)
+	if err := <-answered; err != nil {
+		t.Errorf("stream in progress: got %v, want no error", err)
+	}
+}
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -175,7 +175,8 @@
 	}
 }
 
-// beginBody is called before a request is handled. What is received next is its body.
+// beginBody is called before a request is handled. What is received next over HTTP/1 is its
+// body.
 func (c *guardedConn) beginBody(r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,17 +185,22 @@
 	}
 }
 
-// endRequest is called when a response was written whole and the connection stays open.
-func (c *guardedConn) endRequest() {
+// setState is called when the state of the connection in net/http changes: it is idle when a
+// response was written whole or, over HTTP/2, when no stream is open.
+func (c *guardedConn) setState(s http.ConnState) {
 	c.mu.Lock()
 	isHTTP2 := c.http2
 	c.mu.Unlock()
-	if isHTTP2 {
-		return
-	}
+	now := c.guard.options.Clock.Now()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	c.guard.table.EndRequest(c.entry, c.guard.options.Clock.Now())
+	switch {
+	case s == http.StateIdle:
+		c.guard.table.EndRequest(c.entry, now)
+	case s == http.StateActive && isHTTP2:
+		// If the connection was closed meanwhile, net/http ends its streams.
+		_ = c.guard.table.BeginRequest(c.entry, now)
+	}
 }
 
 // refuse ends a connection because of an error of admit. For a head, it writes the response and
--- a/pkg/tarragonwell/admission/connections.go
+++ b/pkg/tarragonwell/admission/connections.go
@@ -229,13 +229,13 @@
 }
 
 // Resize changes the memory that is reserved for a connection without its heads, and reports
-// whether there was room. Its request counts as in progress until it is closed.
+// whether there was room. The connection counts as idle until BeginRequest.
 func (t *ConnectionTable) Resize(c *Connection, cost int64, now time.Time) bool {
 	if c.state == stateClosed || !t.Connections.Reserve(cost-c.connectionCost) {
 		return false
 	}
 	c.connectionCost = cost
-	t.enter(c, stateBusy, now)
+	t.EndRequest(c, now)
 	return true
 }
 
