Merge the tests of crowds, and copy no values when a download is resumed

Cause: three tests of crowds differed in their settings alone, as did two of idle connections. A resumed download copied the values of the call's header. Change: TestCrowdsAreWithstood has the cases of TestManyHeadsAreWithstood and TestMixedCrowdsAreWithstood, with the same callers, limits and bounds; the tests of idle connections over HTTP/1 and HTTP/2 are one, which now checks over both that a request in progress is not cut. A resumed download copies the map alone.

--- a/internal/caller/guard_test.go
+++ b/internal/caller/guard_test.go
@@ -17,37 +17,20 @@
 // TestRejectionOfUnreadHead guards against a rejection that is no HTTP response, or that
 // states not-run for a request whose ticket an earlier attempt may have run.
 func TestRejectionOfUnreadHead(t *testing.T) {
-	tests := []struct {
-		name       string
-		operations *operations.Operations
-		want       string
-	}{
-		{
-			name: "without tickets",
-			want: "not-run",
-		},
-		{
-			name:       "with tickets",
-			operations: &operations.Operations{},
-			want:       "unknown",
-		},
-	}
-	for _, tt := range tests {
+	for want, o := range map[string]*operations.Operations{
+		"not-run": nil,
+		"unknown": {},
+	} {
 		s := newTestServer(t, nil)
-		s.options.Operations = tt.operations
+		s.options.Operations = o
 		text := s.encodeRejection(http.StatusServiceUnavailable, "no room")
-		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
+		r, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
 		if err != nil {
-			t.Fatalf("%s: %v", tt.name, err)
+			t.Fatalf("%s: %v", want, err)
 		}
-		if got, want := response.StatusCode, http.StatusServiceUnavailable; got != want {
-			t.Errorf("%s: got status %d, want %d", tt.name, got, want)
-		}
-		if got := response.Header.Get(HeaderOutcome); got != tt.want {
-			t.Errorf("%s: got outcome %q, want %q", tt.name, got, tt.want)
-		}
-		if !response.Close || response.Header.Get("Retry-After") == "" {
-			t.Errorf("%s: got close %v and retry after %q, want both", tt.name, response.Close, response.Header.Get("Retry-After"))
+		got := r.Header.Get(HeaderOutcome)
+		if got != want || r.StatusCode != http.StatusServiceUnavailable || !r.Close || r.Header.Get("Retry-After") == "" {
+			t.Errorf("got outcome %q, status %d, close %v, header %v, want %s, 503, true and a Retry-After", got, r.StatusCode, r.Close, r.Header, want)
 		}
 	}
 }
@@ -56,63 +39,32 @@
 // that may be in force, after a raise or after it was taken back.
 func TestHeadLimitsFollowRules(t *testing.T) {
 	s := newTestServer(t, nil)
-	routing := s.options.CurrentRouting()
-	tests := []struct {
-		name  string
-		rules tarragonwell.CallerLimits
-		want  sockets.HeadLimits
-	}{
-		{
-			name: "no statement",
-			want: sockets.HeadLimits{
-				Bytes:     minHeadBytes + headSlop,
-				Timeout:   headerTimeout,
-				SlowAfter: headerTimeout,
-			},
-		},
-		{
-			name: "lower",
-			rules: tarragonwell.CallerLimits{
-				HeadBytes:   16384,
-				HeadTimeout: 3 * time.Second,
-			},
-			want: sockets.HeadLimits{
-				Bytes:     minHeadBytes + headSlop,
-				Timeout:   headerTimeout,
-				SlowAfter: 3 * time.Second,
-			},
-		},
-		{
-			name: "higher",
-			rules: tarragonwell.CallerLimits{
-				HeadBytes:   200_000,
-				HeadTimeout: 20 * time.Second,
-			},
-			want: sockets.HeadLimits{
-				Bytes:     200_000 + headSlop,
-				Timeout:   20 * time.Second,
-				SlowAfter: 20 * time.Second,
-			},
-		},
-		{
-			name: "taken back",
-			rules: tarragonwell.CallerLimits{
-				HeadBytes:   16384,
-				HeadTimeout: 3 * time.Second,
-			},
-			want: sockets.HeadLimits{
-				Bytes:     200_000 + headSlop,
-				Timeout:   20 * time.Second,
-				SlowAfter: 20 * time.Second,
-			},
-		},
-	}
-	for _, tt := range tests {
-		routing.Rules.Limits = tt.rules
-		if got := s.limits(); got != tt.want {
-			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
+	limits := &s.options.CurrentRouting().Rules.Limits
+	check := func(name string, bytes int64, timeout, slowAfter time.Duration) {
+		t.Helper()
+		want := sockets.HeadLimits{
+			Bytes:     bytes + headSlop,
+			Timeout:   timeout,
+			SlowAfter: slowAfter,
 		}
+		if got := s.limits(); got != want {
+			t.Errorf("%s: got %+v, want %+v", name, got, want)
+		}
+	}
+	check("no statement", minHeadBytes, headerTimeout, headerTimeout)
+	lower := tarragonwell.CallerLimits{
+		HeadBytes:   16384,
+		HeadTimeout: 3 * time.Second,
+	}
+	*limits = lower
+	check("lower", minHeadBytes, headerTimeout, 3*time.Second)
+	*limits = tarragonwell.CallerLimits{
+		HeadBytes:   200_000,
+		HeadTimeout: 20 * time.Second,
 	}
+	check("higher", 200_000, 20*time.Second, 20*time.Second)
+	*limits = lower
+	check("taken back", 200_000, 20*time.Second, 20*time.Second)
 }
 
 // TestHTTP2HeadsAreCounted guards against streams of an HTTP/2 connection whose heads take
--- a/internal/service/stream.go
+++ b/internal/service/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -188,7 +189,8 @@
 	call := *b.call
 	call.ID = fmt.Sprintf("%s-r%d", b.call.ID, b.resumes)
 	call.Deadline = d.dispatcher.options.Common.Clock.Now().Add(call.Route.Kind.Timeout)
-	header := http.Header(call.Header).Clone()
+	// The copy shares the values, which are replaced and not changed.
+	header := http.Header(maps.Clone(call.Header))
 	if header == nil {
 		header = http.Header{}
 	}
--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -252,68 +253,43 @@
 }
 
 // TestIdleConnectionIsClosedForNewOne guards against callers that are locked out by
-// connections that are open and not used.
+// connections that are open and not used, also over HTTP/2, and against closing one whose
+// request is in progress.
 func TestIdleConnectionIsClosedForNewOne(t *testing.T) {
-	const limit = 5
-	f := startGuarded(t, limit, 0)
-	var idle []net.Conn
-	for range limit {
-		c := f.dial(t)
-		send(c, get+"\r\n")
-		if got, want := status(c), http.StatusOK; got != want {
-			t.Fatalf("status: got %d, want %d", got, want)
+	for _, isHTTP2 := range []bool{false, true} {
+		f := startGuarded(t, 2, 0)
+		answered := make(chan error, 1)
+		go func() { answered <- f.exchange(isHTTP2, "/wait") }()
+		await(t, "the request is handled", func() bool { return f.waiting.Load() == 1 })
+		if err := f.exchange(isHTTP2, "/"); err != nil {
+			t.Fatal(err)
+		}
+		await(t, "another caller is answered", func() bool {
+			c := f.dial(t)
+			send(c, get+"\r\n")
+			return status(c) == http.StatusOK
+		})
+		close(f.release)
+		if err := <-answered; err != nil {
+			t.Errorf("HTTP/2 %v: request in progress: got %v, want no error", isHTTP2, err)
 		}
-		idle = append(idle, c)
-	}
-	await(t, "another caller is answered", func() bool {
-		c := f.dial(t)
-		send(c, get+"\r\n")
-		return status(c) == http.StatusOK
-	})
-	if _, err := idle[0].Read(make([]byte, 1)); err == nil {
-		t.Error("the connection that was idle for longest: got a byte, want an error")
 	}
 }
 
-// TestIdleHTTP2ConnectionIsClosedForNewOne guards against callers that are locked out by
-// HTTP/2 connections without streams, and against closing one whose stream is in progress.
-func TestIdleHTTP2ConnectionIsClosedForNewOne(t *testing.T) {
-	f := startGuarded(t, 2, 0)
-	answered := make(chan error, 1)
-	for _, path := range []string{"/wait", "/"} {
-		protocols := new(http.Protocols)
-		protocols.SetUnencryptedHTTP2(true)
-		transport := &http.Transport{
+// exchange sends a request on a connection of its own, which stays open.
+func (f *guardFixture) exchange(isHTTP2 bool, path string) error {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!isHTTP2)
+	protocols.SetUnencryptedHTTP2(isHTTP2)
+	client := &http.Client{
+		Transport: &http.Transport{
 			Protocols: protocols,
-		}
-		defer transport.CloseIdleConnections()
-		r, err := http.NewRequest(http.MethodGet, "http://"+f.address+path, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		exchange := func() error {
-			response, err := transport.RoundTrip(r)
-			if err != nil {
-				return err
-			}
-			return response.Body.Close()
-		}
-		if path == "/" {
-			if err := exchange(); err != nil {
-				t.Fatal(err)
-			}
-			continue
-		}
-		go func() { answered <- exchange() }()
-		await(t, "the stream is handled", func() bool { return f.waiting.Load() == 1 })
+		},
 	}
-	await(t, "another caller is answered", func() bool {
-		c := f.dial(t)
-		send(c, get+"\r\n")
-		return status(c) == http.StatusOK
-	})
-	close(f.release)
-	if err := <-answered; err != nil {
-		t.Errorf("stream in progress: got %v, want no error", err)
+	response, err := client.Get("http://" + f.address + path)
+	if err != nil {
+		return err
 	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return errors.Join(err, response.Body.Close())
 }
--- a/test/abuse/abuse_test.go
+++ b/test/abuse/abuse_test.go
@@ -7,10 +7,10 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,17 +27,17 @@
 - {route: {method: GET, path: /, service: reads, kind: read}}  # Operations
 - {route: {method: POST, path: /, service: reads, kind: read}}  # Operations
 `
-	// descriptors is the limit that the settings set.
-	descriptors = 200
+	// fewDescriptors is the limit that most settings set, below the number of callers, and
+	// manyDescriptors that of the others.
+	fewDescriptors  = 200
+	manyDescriptors = 2000
 	// settings are the lowered limits.
 	settings = `limits: {descriptors: %d, held-head-bytes: 6291456, held-connection-bytes: 8388608, request-body-bytes: 65536, held-request-bytes: 1048576}
 log: {level: error}`
-	// manyDescriptors replaces the limit where memory is to be the limit.
-	manyDescriptors = 2000
 	// maxResidentBytes is twice what the settings allow callers (15 MiB), as the heap may
 	// double between two collections, and 66 MiB for the process itself.
 	maxResidentBytes = 96 << 20
-	// callers is the number of callers of a crowd, more than there are descriptors.
+	// callers is the number of callers.
 	callers = 400
 	// http2Connections is the number of connections of the crowd that uses HTTP/2.
 	http2Connections = 24
@@ -92,73 +92,33 @@
 	return f
 }
 
-// freeze freezes or thaws the targets. Requests are held while they are frozen.
-func freeze(f *fleet.Fleet, frozen bool) {
-	for _, x := range f.Targets["reads"] {
-		x.UpdateBehaviour(func(b *target.Behaviour) { b.Frozen = frozen })
-	}
-}
+// mixed are the attacks of the crowd of several sorts.
+var mixed = []abusive.Attack{abusive.SlowHead, abusive.ManyLines, abusive.ManyLinesHeld, abusive.Silent}
 
-// TestCrowdsAreWithstood guards against a process that abusive callers end, or bring above
-// the memory or the descriptors of its machine, and against one that answers nobody after
-// they have left.
+// TestCrowdsAreWithstood guards against a process that abusive callers of one sort or several
+// end, or bring above the memory or the descriptors of its machine, and against one that
+// answers nobody after they have left. With many descriptors memory is the limit.
 func TestCrowdsAreWithstood(t *testing.T) {
-	for a := range abusive.Attacks {
-		t.Run(a.String(), func(t *testing.T) {
-			f := start(t, byte(a)+1, descriptors)
-			freeze(f, true)
-			crowd := &abusive.Crowd{
-				Address: f.Instances[0].CallerAddress(),
-				Path:    "/a",
-				Callers: callers,
-				Attack:  a,
-			}
-			if a == abusive.HTTP2Streams {
-				crowd.Callers = http2Connections
-			}
-			play(t, f, descriptors, crowd)
+	n := byte(0)
+	run := func(name string, descriptors int, attacks ...abusive.Attack) {
+		n++
+		t.Run(fmt.Sprintf("%s, %d descriptors", name, descriptors), func(t *testing.T) {
+			play(t, start(t, n, descriptors), descriptors, attacks)
 		})
 	}
-}
-
-// TestManyHeadsAreWithstood guards against heads whose memory is bounded by the number of
-// connections alone.
-func TestManyHeadsAreWithstood(t *testing.T) {
-	for n, a := range []abusive.Attack{abusive.ManyLines, abusive.ManyLinesHeld, abusive.SuccessiveConnections} {
-		t.Run(a.String(), func(t *testing.T) {
-			f := start(t, byte(abusive.Attacks)+3+byte(n), manyDescriptors)
-			freeze(f, true)
-			play(t, f, manyDescriptors, &abusive.Crowd{
-				Address: f.Instances[0].CallerAddress(),
-				Path:    "/a",
-				Callers: callers,
-				Attack:  a,
-			})
-		})
+	for a := range abusive.Attacks {
+		run(a.String(), fewDescriptors, a)
 	}
-}
-
-// TestMixedCrowdsAreWithstood guards against limits that hold for each kind of abuse and not
-// for several at a time: slow heads, heads of many lines and silent connections.
-func TestMixedCrowdsAreWithstood(t *testing.T) {
-	f := start(t, byte(abusive.Attacks)+1, descriptors)
-	var crowds []*abusive.Crowd
-	for _, a := range []abusive.Attack{abusive.SlowHead, abusive.ManyLines, abusive.ManyLinesHeld, abusive.Silent} {
-		crowds = append(crowds, &abusive.Crowd{
-			Address: f.Instances[0].CallerAddress(),
-			Path:    "/a",
-			Callers: callers / 4,
-			Attack:  a,
-		})
+	for _, a := range []abusive.Attack{abusive.ManyLines, abusive.ManyLinesHeld, abusive.SuccessiveConnections} {
+		run(a.String(), manyDescriptors, a)
 	}
-	freeze(f, true)
-	play(t, f, descriptors, crowds...)
+	run("mixed", fewDescriptors, mixed...)
 }
 
 // TestLargestHeadIsServed guards against limits that a caller within the limits of the
 // configuration reaches: a head of 16,384 bytes with thousands of lines.
 func TestLargestHeadIsServed(t *testing.T) {
-	f := start(t, byte(abusive.Attacks)+2, descriptors)
+	f := start(t, 100, fewDescriptors)
 	crowd := &abusive.Crowd{
 		Path:   "/a",
 		Header: "Connection: close\r\n",
@@ -170,27 +130,34 @@
 	}
 }
 
-// play plays crowds and checks the process while they last and afterwards.
-func play(t *testing.T, f *fleet.Fleet, descriptors int, crowds ...*abusive.Crowd) {
+// play plays a crowd of each attack at a time while the target is frozen, so that requests
+// are held, and checks the process meanwhile and afterwards.
+func play(t *testing.T, f *fleet.Fleet, descriptors int, attacks []abusive.Attack) {
 	t.Helper()
+	frozen := f.Targets["reads"][0]
+	frozen.UpdateBehaviour(func(b *target.Behaviour) { b.Frozen = true })
+	address, process := f.Instances[0].CallerAddress(), f.Instances[0].Process()
 	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
 	defer cancel()
-	done := make(chan struct{}, len(crowds))
-	for _, c := range crowds {
-		go func() {
-			c.Run(ctx)
-			done <- struct{}{}
-		}()
+	var crowds sync.WaitGroup
+	for _, a := range attacks {
+		crowd := &abusive.Crowd{
+			Address: address,
+			Path:    "/a",
+			Callers: callers / len(attacks),
+			Attack:  a,
+		}
+		if a == abusive.HTTP2Streams {
+			crowd.Callers = http2Connections
+		}
+		crowds.Go(func() { crowd.Run(ctx) })
 	}
-	process := f.Instances[0].Process()
 	open := 0
 	for ctx.Err() == nil {
 		open = max(open, openDescriptors(process.PID()))
 		time.Sleep(50 * time.Millisecond)
 	}
-	for range crowds {
-		<-done
-	}
+	crowds.Wait()
 	select {
 	case <-process.Exited():
 		t.Fatalf("the process exited with %d:\n%s", process.ExitCode(), process.Output())
@@ -207,34 +174,14 @@
 	if open > descriptors {
 		t.Errorf("descriptors: got %d, want at most %d", open, descriptors)
 	}
-	freeze(f, false)
-	if err := awaitAnswer(f.Instances[0].CallerAddress()); err != nil {
-		t.Error(err)
-	}
-}
-
-// awaitAnswer sends ordinary requests until one gets a response of a target.
-func awaitAnswer(address string) error {
-	client := &http.Client{
-		Timeout: answerLimit,
-		Transport: &http.Transport{
-			DisableKeepAlives: true,
-		},
-	}
-	var last error
-	for end := time.Now().Add(answerLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		response, err := client.Get("http://" + address + "/a")
-		if err != nil {
-			last = err
-			continue
-		}
-		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
-			return nil
+	frozen.UpdateBehaviour(func(b *target.Behaviour) { b.Frozen = false })
+	answer := ""
+	for end := time.Now().Add(answerLimit); !strings.HasPrefix(answer, "HTTP/1.1 200 "); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("ordinary requests: got %.80q and %v, want status 200", answer, err)
 		}
-		last = fmt.Errorf("status %d", response.StatusCode)
+		answer, err = exchange(address, "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
 	}
-	return fmt.Errorf("no ordinary request was answered: %w", last)
 }
 
 // openDescriptors returns the number of open descriptors of a process.
