Bound the memory of an instance by a setting

Cause: the collector lets the heap double and nothing tells it how much memory the machine has, and the bounds on bodies and responses have no common limit. Change: limits.memory-bytes, or limits.memory-megabytes for templates without arithmetic, is divided into the runtime's soft limit and an account with the parts requests, heads, responses and connections (admission.PlanMemory). The older settings stay upper bounds of their parts. A reload changes the limits of budgets in use; what is held beyond a lower one stays until it is released. Each part has its use, limit and refusals as metrics.

--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -26,6 +27,20 @@
 	// modified and size are those of the file at the last check.
 	modified time.Time
 	size     int64
+	// softLimit is the runtime's memory limit while the settings state none: that of the
+	// environment, if it has one.
+	softLimit int64
+}
+
+// setMemoryLimit sets the runtime's soft memory limit from the settings.
+func (r *reloader) setMemoryLimit(s *settingsfile.Settings) {
+	limit := s.MemoryPlan().SoftLimit
+	if limit <= 0 {
+		limit = r.softLimit
+	}
+	if before := debug.SetMemoryLimit(limit); before != limit {
+		r.log.Info("memory-limit", "memory", s.MemoryBytes, "soft-limit", limit, "account", s.MemoryPlan().Account)
+	}
 }
 
 // run reloads the settings on SIGHUP and when the file changes, until ctx ends.
@@ -87,5 +102,6 @@
 	}
 	// The names of the changed settings that take effect only after a restart.
 	needRestart := r.instance.Reload(s)
+	r.setMemoryLimit(s)
 	r.log.Info("settings-reloaded", "cause", cause, "after-restart", needRestart)
 }
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
@@ -69,10 +70,12 @@
 	l.Info("starting", "callers", s.CallerListenAddress, "peers", s.PeerListenAddress, "operators", s.OperatorListenAddress, "version", version())
 	i := instance.New(s, l, routineLog, adapters(s))
 	r := &reloader{
-		path:     c.Settings,
-		instance: i,
-		log:      l,
+		path:      c.Settings,
+		instance:  i,
+		log:       l,
+		softLimit: debug.SetMemoryLimit(-1),
 	}
+	r.setMemoryLimit(s)
 	defer runInBackground(r.run)()
 	if err := i.Run(ctx); err != nil {
 		l.Error("failed", "error", err)
--- a/internal/common/common.go
+++ b/internal/common/common.go
@@ -2,6 +2,7 @@
 package common
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -90,13 +91,73 @@
 	return logger.With("instance", instance), nil
 }
 
-// SetBudgets sets the limits of the memory budgets from the settings. It must be called
-// before they are used.
+// SetBudgets sets the limits of the memory budgets from the settings. It may be called again
+// with other settings while the budgets are in use.
 func (c *Dependencies) SetBudgets(s *settingsfile.Settings) {
-	c.RequestBytes.Limit = s.MaxTotalRequestBytes
-	c.ResponseBytes.Limit = s.MaxTotalResponseBytes
-	for _, part := range []*ByteBudget{&c.RequestBytes, &c.HeadBytes, &c.ResponseBytes, &c.ConnectionBytes} {
-		part.Parent = &c.Memory
+	p := s.MemoryPlan()
+	c.Memory.SetLimit(p.Account)
+	for _, x := range c.budgetParts() {
+		// The first call precedes all use.
+		if x.budget.Parent == nil {
+			x.budget.Parent = &c.Memory
+		}
+	}
+	c.RequestBytes.SetLimit(lowerLimit(p.Requests, s.MaxTotalRequestBytes))
+	c.HeadBytes.SetLimit(p.Heads)
+	c.ResponseBytes.SetLimit(lowerLimit(p.Responses, s.MaxTotalResponseBytes))
+	c.ConnectionBytes.SetLimit(p.Connections)
+}
+
+// lowerLimit returns the lower of two limits, of which 0 means none.
+func lowerLimit(a, b int64) int64 {
+	if a <= 0 || b <= 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// budgetPart is a part of Memory with its name in metrics.
+type budgetPart struct {
+	name   string
+	budget *ByteBudget
+}
+
+func (c *Dependencies) budgetParts() []budgetPart {
+	return []budgetPart{
+		{
+			name:   "requests",
+			budget: &c.RequestBytes,
+		},
+		{
+			name:   "heads",
+			budget: &c.HeadBytes,
+		},
+		{
+			name:   "responses",
+			budget: &c.ResponseBytes,
+		},
+		{
+			name:   "connections",
+			budget: &c.ConnectionBytes,
+		},
+	}
+}
+
+// RegisterBudgets adds the metrics of the memory budgets to Metrics. The part "all" is the
+// whole account.
+func (c *Dependencies) RegisterBudgets() {
+	parts := append(c.budgetParts(), budgetPart{
+		name:   "all",
+		budget: &c.Memory,
+	})
+	for _, x := range parts {
+		for name, value := range map[string]func() float64{
+			"tarragonwell_held_bytes":               func() float64 { return float64(x.budget.Reserved()) },
+			"tarragonwell_held_bytes_limit":         func() float64 { return float64(x.budget.CurrentLimit()) },
+			"tarragonwell_held_bytes_refused_total": func() float64 { return float64(x.budget.Refused()) },
+		} {
+			c.Metrics.GetOrCreateGauge(fmt.Sprintf("%s{part=%q}", name, x.name), value)
+		}
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -92,6 +92,7 @@
 		Started:    time.Now(),
 	}
 	c.SetBudgets(s)
+	c.RegisterBudgets()
 	_, _ = rand.Read(c.Incarnation[:])
 	i := &Instance{
 		common:       c,
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/yamldoc"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
 
 // Settings holds a validated settings file with defaults applied.
@@ -69,6 +71,8 @@
 	// MaxTotalResponseBytes bounds the total size of the responses that are buffered at a
 	// time. Beyond it, responses are streamed.
 	MaxTotalResponseBytes int64
+	// MemoryBytes is the memory of the machine for this process; 0 for no bound.
+	MemoryBytes int64
 	// MaxTickets bounds the outstanding tickets of operations, used or not.
 	MaxTickets int
 	// MaxOperationBytes bounds the total size of the retained responses to operations.
@@ -127,6 +131,12 @@
 	defaultInstancesAtMost        = 16
 )
 
+const (
+	// megabyte is the smaller of the usual meanings, so that a bound is never exceeded.
+	megabyte  = 1_000_000
+	maxMemory = 1 << 50
+)
+
 // ErrInvalid is joined with the errors of an invalid file, each of which is a
 // *yamldoc.FieldError.
 var ErrInvalid = eris.New("invalid settings")
@@ -186,6 +196,7 @@
 		MaxTotalRequestBytes:   orDefault(int64(m.GetLimits().GetHeldRequestBytes()), defaultMaxTotalRequestBytes),
 		MaxTotalResponseBytes:  orDefault(int64(m.GetLimits().GetHeldAnswerTotalBytes()), defaultMaxTotalResponseBytes),
 		MaxResponseBufferBytes: orDefault(int64(m.GetLimits().GetHeldAnswerBytes()), defaultMaxResponseBufferBytes),
+		MemoryBytes:            memoryBytes(m.GetLimits(), c),
 		MaxTickets:             orDefault(int(m.GetLimits().GetOperations()), defaultMaxTickets),
 		MaxOperationBytes:      orDefault(int(m.GetLimits().GetOperationBytes()), defaultMaxOperationBytes),
 		AuditRecords:           orDefault(int(m.GetLimits().GetAuditRecords()), defaultAuditRecords),
@@ -206,6 +217,33 @@
 	return s
 }
 
+// memoryBytes returns the memory of the machine in whichever unit it is set.
+func memoryBytes(m *pb.LimitSettings, c *yamldoc.Checker) int64 {
+	field, n := "limits.memory-bytes", m.GetMemoryBytes()
+	if m.GetMemoryMegabytes() > 0 {
+		if n > 0 {
+			c.Fail("limits.memory-megabytes", "limits.memory-bytes is set too")
+			return 0
+		}
+		field, n = "limits.memory-megabytes", uint64(m.GetMemoryMegabytes())*megabyte
+	}
+	if n > 0 && (n < admission.MinMemory || n > maxMemory) {
+		c.Fail(field, fmt.Sprintf("want 0 for no bound, or %d to %d bytes", admission.MinMemory, int64(maxMemory)))
+		return 0
+	}
+	return int64(n)
+}
+
+// MemoryPlan returns the division of MemoryBytes. The responses to operations that are
+// retained have a bound of their own.
+func (s *Settings) MemoryPlan() admission.MemoryPlan {
+	var reserved int64
+	if s.PlatformProtocol != PlatformPrepared {
+		reserved = int64(s.MaxOperationBytes)
+	}
+	return admission.PlanMemory(s.MemoryBytes, reserved)
+}
+
 func validate(s *Settings, c *yamldoc.Checker) {
 	c.Name("instance.name", s.Name)
 	c.Name("instance.data-center", s.DataCenter)
@@ -236,6 +274,9 @@
 	if s.MaxRequestBodyBytes < 0 || s.MaxResponseBufferBytes < 0 || s.MaxTotalResponseBytes < 0 {
 		c.Fail("limits", "a size is out of range")
 	}
+	if s.MemoryBytes > 0 && s.MemoryPlan().Requests < s.MaxRequestBodyBytes {
+		c.Fail("limits.request-body-bytes", fmt.Sprintf("a body of this size does not fit into the memory: want at most %d", s.MemoryPlan().Requests))
+	}
 	c.OneOf("log.level", s.LogLevel, "debug", "info", "warn", "error")
 }
 
--- a/pkg/settingsfile/settings_test.go
+++ b/pkg/settingsfile/settings_test.go
@@ -70,6 +70,26 @@
 			content: validSettings + "peers: {seeds: 3}\n",
 			want:    "f:7: peers.seeds: want a list",
 		},
+		{
+			name:    "memory below the least",
+			content: validSettings + "limits: {memory-megabytes: 60}\n",
+			want:    "f:7: limits.memory-megabytes: want 0 for no bound, or 67108864 to",
+		},
+		{
+			name:    "memory out of range",
+			content: validSettings + "limits: {memory-bytes: 18446744073709551615}\n",
+			want:    "f:7: limits.memory-bytes: want 0 for no bound",
+		},
+		{
+			name:    "memory in two units",
+			content: validSettings + "limits: {memory-megabytes: 184, memory-bytes: 184000000}\n",
+			want:    "f:7: limits.memory-megabytes: limits.memory-bytes is set too",
+		},
+		{
+			name:    "body larger than the memory for bodies",
+			content: validSettings + "limits: {memory-megabytes: 184, request-body-bytes: 100000000}\n",
+			want:    "f:7: limits.request-body-bytes: a body of this size does not fit into the memory",
+		},
 		{
 			name:    "empty file",
 			content: "",
