Hold each request body once, in blocks of the memory account

A body without a length was charged at the largest size, and a caller that sent a length and no body held its memory for good. Change: a body is read into blocks that count against RequestBytes and is written to targets from them. All attempts share it, and it is released when the last has closed it; a hedge that is given up may outlast the call. The memory of a known length is reserved first, other bodies reserve as they arrive. Reading ends 500 ms after the call's deadline. A rejected body is read to its end for at most a second: the HTTP server closed the connection at once if the request said "Connection: close", and the caller lost the response to the reset. The memory of a response is returned block by block as it is written.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -6,18 +6,17 @@
 	"context"
 	"encoding/hex"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"path"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/rotisserie/eris"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/operations"
@@ -118,13 +117,6 @@
 		s.rejectTemporarily(w, r, "no rules are in force yet")
 		return
 	}
-	limit := s.bodyLimit(routing, r)
-	release, ok := s.reserveBody(r, limit)
-	if !ok {
-		s.rejectTemporarily(w, r, "too many requests are in hand")
-		return
-	}
-	defer release()
 	if !isCleanPath(r.URL.Path) {
 		s.reject(w, r, tarragonwell.CauseMalformed, "the path has dot segments")
 		return
@@ -134,7 +126,11 @@
 		s.reject(w, r, tarragonwell.CauseNoRoute, "no rule routes this request")
 		return
 	}
-	call, cause, err := s.readCall(r, route, limit, arrived)
+	call, cause, err := s.readCall(w, r, route, s.bodyLimit(routing), arrived)
+	if errors.Is(err, errNoMemory) {
+		s.rejectTemporarily(w, r, err.Error())
+		return
+	}
 	if err != nil {
 		s.reject(w, r, cause, err.Error())
 		return
@@ -170,34 +166,13 @@
 	return s.options.CurrentRouting()
 }
 
-// reserveBody reserves memory for a request's body, so that the memory for all
-// bodies is bounded regardless of what callers send.
-func (s *Server) reserveBody(r *http.Request, limit int64) (release func(), ok bool) {
-	size := limit
-	if r.ContentLength >= 0 {
-		size = min(size, r.ContentLength)
-	}
-	budget := &s.options.Common.RequestBytes
-	if !budget.Reserve(size) {
-		return nil, false
-	}
-	return func() { budget.Release(size) }, true
-}
-
-// bodyLimit returns the limit on a request's body: that of the rules or, if they
-// set none, that of the settings. Memory is reserved before the body is read, so a
-// body of unknown length gets the lower of the two.
-func (s *Server) bodyLimit(routing *Routing, r *http.Request) int64 {
-	settingsLimit := s.options.Common.Settings.MaxRequestBodyBytes
-	rulesLimit := routing.Rules.Limits.RequestBodyBytes
-	switch {
-	case rulesLimit <= 0:
-		return settingsLimit
-	case r.ContentLength < 0:
-		return min(rulesLimit, settingsLimit)
-	default:
-		return rulesLimit
+// bodyLimit returns the limit on a request's body: that of the rules or, if they set none,
+// that of the settings.
+func (s *Server) bodyLimit(routing *Routing) int64 {
+	if limit := routing.Rules.Limits.RequestBodyBytes; limit > 0 {
+		return limit
 	}
+	return s.options.Common.Settings.MaxRequestBodyBytes
 }
 
 // rejectTemporarily rejects a request that may succeed later. The outcome of a
@@ -205,6 +180,7 @@
 // and a later one may still run it. The status is 503 in either case, as the request may
 // be repeated.
 func (s *Server) rejectTemporarily(w http.ResponseWriter, r *http.Request, reason string) {
+	defer s.discardBody(w, r)
 	s.logRejected(r, reason)
 	response := &tarragonwell.LocalResponse{
 		Outcome:    tarragonwell.OutcomeNotRun,
@@ -237,6 +213,7 @@
 // reject ends a request that can't be dispatched. A ticket is first voided at its
 // holder: not-run is reported only once the operation can never be run.
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, cause tarragonwell.FailureCause, reason string) {
+	defer s.discardBody(w, r)
 	s.logRejected(r, reason)
 	text := s.ticketText(r)
 	if text == "" {
@@ -271,7 +248,7 @@
 
 // readCall reads a whole request into a call; its deadline counts from arrived. The
 // cause is only valid with an error.
-func (s *Server) readCall(r *http.Request, route *tarragonwell.Route, limit int64, arrived time.Time) (*tarragonwell.Call, tarragonwell.FailureCause, error) {
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request, route *tarragonwell.Route, limit int64, arrived time.Time) (*tarragonwell.Call, tarragonwell.FailureCause, error) {
 	// The call owns the request's header from here on, so there is no copy.
 	header := r.Header
 	header.Set("Host", r.Host)
@@ -291,14 +268,11 @@
 	if err := s.dialect.ParseCallHeader(arrived, callerIP, call); err != nil {
 		return nil, tarragonwell.CauseMalformed, err
 	}
-	call.Body, err = io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, tarragonwell.CauseTooLarge, eris.Errorf("the body is larger than %d bytes", limit)
-	}
+	body, cause, err := s.readBody(w, r, limit, call.Deadline)
 	if err != nil {
-		return nil, tarragonwell.CauseMalformed, eris.New("the body broke off")
+		return nil, cause, err
 	}
+	call.Body = body
 	return call, 0, nil
 }
 
@@ -311,8 +285,11 @@
 	return r.Kind.Timeout
 }
 
-// serveCall runs a call to its end, writes the response and returns the outcome.
+// serveCall runs a call to its end, writes the response and returns the outcome. It closes
+// the call's body.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request, routing *Routing, call *tarragonwell.Call, arrived time.Time) tarragonwell.Outcome {
+	closeBody := sync.OnceFunc(call.Body.Close)
+	defer closeBody()
 	if !call.Route.Kind.Repeatable && s.options.Operations != nil {
 		if text := r.Header.Get(HeaderTicket); text != "" {
 			r.Header.Del(HeaderTicket)
@@ -324,6 +301,10 @@
 	}
 	result := routing.Dispatchers[call.Service.Name].Dispatch(r.Context(), call)
 	s.logCallEnd(r, call, routing, &result, arrived)
+	if !call.Route.Kind.Long {
+		// No further attempt follows, and a slow reader may take long to read the response.
+		closeBody()
+	}
 	s.writeResult(w, call, result)
 	return result.Outcome
 }
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -143,7 +143,7 @@
 		if x.retries == "" {
 			r.Header.Del("Tarragonwell-Retries-Left")
 		}
-		call, _, err := s.readCall(r, &tarragonwell.Route{
+		call, _, err := s.readCall(httptest.NewRecorder(), r, &tarragonwell.Route{
 			Kind: k,
 		}, 0, time.Now())
 		if err != nil {
--- a/internal/service/response_buffer_test.go
+++ b/internal/common/block_buffer_test.go
@@ -1,4 +1,4 @@
-package service
+package common
 
 import (
 	"bytes"
@@ -6,13 +6,11 @@
 	"strings"
 	"testing"
 	"testing/iotest"
-
-	"github.com/tarragonwell/tarragonwell/internal/common"
 )
 
-// TestResponseBuffer checks which bodies are buffered whole, that the part of the others
+// TestBlockBuffer checks which bodies are buffered whole, that the part of the others
 // that was read is not lost, and that all memory is returned, however the body is read.
-func TestResponseBuffer(t *testing.T) {
+func TestBlockBuffer(t *testing.T) {
 	const limit = 100 << 10
 	for _, x := range []struct {
 		name   string
@@ -55,19 +53,19 @@
 			budget: 40 << 10,
 		},
 	} {
-		for _, read := range []func(*responseBuffer, io.Writer) (int64, error){
-			func(b *responseBuffer, w io.Writer) (int64, error) { return io.Copy(w, b) },
-			func(b *responseBuffer, w io.Writer) (int64, error) { return io.Copy(w, iotest.OneByteReader(b)) },
+		for _, read := range []func(*BlockBuffer, io.Writer) (int64, error){
+			func(b *BlockBuffer, w io.Writer) (int64, error) { return io.Copy(w, b) },
+			func(b *BlockBuffer, w io.Writer) (int64, error) { return io.Copy(w, iotest.OneByteReader(b)) },
 		} {
 			content := strings.Repeat("x", x.size)
-			budget := &common.ByteBudget{
+			budget := &ByteBudget{
 				Limit: x.budget,
 			}
-			b := &responseBuffer{
-				budget: budget,
+			b := &BlockBuffer{
+				Budget: budget,
 			}
 			body := strings.NewReader(content)
-			ended, err := b.fill(iotest.HalfReader(body), x.length, limit)
+			ended, err := b.Fill(iotest.HalfReader(body), x.length, limit)
 			if got, want := ended, x.ended; got != want || err != nil {
 				t.Errorf("%s: got ended %v and error %v, want %v and none", x.name, got, err, want)
 			}
--- a/internal/operations/run.go
+++ b/internal/operations/run.go
@@ -105,7 +105,9 @@
 // dispatch starts a goroutine that runs an operation to its end, even if its caller
 // disconnects: an operation that has begun needs an outcome.
 func (o *Operations) dispatch(ctx context.Context, op *tarragonwell.Operation, finished chan<- tarragonwell.StoredResult) {
+	op.Body.Hold()
 	go func() {
+		defer op.Body.Close()
 		result := unknownResult("internal error")
 		_ = o.common.Isolate("operation", func() {
 			result = o.options.Dispatcher.DispatchOperation(context.WithoutCancel(ctx), op)
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -128,7 +128,7 @@
 		Method:         o.Method,
 		Path:           o.RequestURI,
 		Header:         headerToProto(o.Header),
-		Body:           o.Body,
+		Body:           o.Body.Bytes(),
 		DeadlineUnixMs: o.Deadline.UnixMilli(),
 		RetriesLeft:    uint32(o.RetriesLeft),
 		Verb:           pb.OperationVerb(o.Verb + 1),
@@ -152,7 +152,7 @@
 		Method:      m.GetMethod(),
 		RequestURI:  m.GetPath(),
 		Header:      headerFromProto(m.GetHeader()),
-		Body:        m.GetBody(),
+		Body:        tarragonwell.NewBody(m.GetBody()),
 		Deadline:    time.UnixMilli(m.GetDeadlineUnixMs()),
 		RetriesLeft: int(m.GetRetriesLeft()),
 	}, nil
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/internal/control"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
@@ -92,12 +93,12 @@
 		// The response to HEAD states a length but has no body.
 		length = 0
 	}
-	buffered := &responseBuffer{
-		budget: &d.dispatcher.options.Common.ResponseBytes,
+	buffered := &common.BlockBuffer{
+		Budget: &d.dispatcher.options.Common.ResponseBytes,
 	}
-	ended, err := buffered.fill(r.Body, length, limit)
+	ended, err := buffered.Fill(r.Body, length, limit)
 	if err != nil {
-		buffered.release()
+		buffered.Release()
 		_ = r.Body.Close()
 		cancel()
 		e := &tarragonwell.AttemptError{
@@ -132,7 +133,7 @@
 	l.release(release)
 	r.Body = buffered
 	if d.call.Method != http.MethodHead {
-		r.Length = buffered.size
+		r.Length = buffered.Size
 	}
 	return r, nil
 }
--- a/internal/service/hedge.go
+++ b/internal/service/hedge.go
@@ -59,7 +59,10 @@
 	h.cancels = append(h.cancels, cancel)
 	h.running++
 	number := h.dispatch.attempts
+	// The attempt may outlast the call.
+	h.dispatch.call.Body.Hold()
 	go func() {
+		defer h.dispatch.call.Body.Close()
 		response, err := h.dispatch.attempt(ctx, l, number, retriesLeft)
 		h.results <- parallelResult{
 			index:    index,
--- a/internal/service/releasing_body.go
+++ b/internal/service/releasing_body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/scheduling"
 )
 
@@ -13,7 +14,7 @@
 type releasingBody struct {
 	reader io.Reader
 	// buffered is the part of the body that was read before it was streamed.
-	buffered *responseBuffer
+	buffered *common.BlockBuffer
 	body     io.Closer
 	// ctx is that of the attempt; it ends at the call's deadline.
 	ctx    context.Context
@@ -43,7 +44,7 @@
 	if b.end != io.EOF {
 		b.release.Result = unfinishedResult(b.ctx, b.end)
 	}
-	b.buffered.release()
+	b.buffered.Release()
 	err := b.body.Close()
 	b.cancel()
 	b.lease.release(b.release)
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -1,11 +1,14 @@
 package target
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
 // errDeadlinePassed means that a write was rejected because the call's deadline, or that
@@ -66,3 +69,22 @@
 	c.writes.Add(1)
 	return c.Conn.Write(p)
 }
+
+// ReadFrom implements io.ReaderFrom. The transport writes a body with it, within the length
+// that the header states. The bytes of a tarragonwell.Body are written from the blocks in
+// which they are held; of any other reader they are copied.
+func (c *trackedConn) ReadFrom(r io.Reader) (int64, error) {
+	if l, ok := r.(*io.LimitedReader); ok {
+		if b, ok := l.R.(*tarragonwell.BodyReader); ok {
+			n, err := b.WriteTo(writerOnly{c})
+			l.N -= n
+			return n, err
+		}
+	}
+	return io.Copy(writerOnly{c}, r)
+}
+
+// writerOnly hides all methods of a writer but Write.
+type writerOnly struct {
+	io.Writer
+}
--- a/internal/target/send.go
+++ b/internal/target/send.go
@@ -139,13 +139,13 @@
 
 // setRetryableBody sets a request body that the transport can read again for a retry.
 // It is used only if the safeguard against repeated sends is disabled.
-func setRetryableBody(r *http.Request, body []byte) {
-	if len(body) == 0 {
+func setRetryableBody(r *http.Request, body *tarragonwell.Body) {
+	if body.Length() == 0 {
 		return
 	}
-	r.ContentLength = int64(len(body))
+	r.ContentLength = body.Length()
 	r.GetBody = func() (io.ReadCloser, error) {
-		return io.NopCloser(bytes.NewReader(body)), nil
+		return body.NewReader(), nil
 	}
 	r.Body, _ = r.GetBody()
 }
@@ -155,16 +155,27 @@
 // retries. The body cannot be read again, and the headers that would permit a retry are
 // removed. For GET, HEAD, OPTIONS and TRACE, which the transport retries without a body,
 // an empty body is set as a reader other than http.NoBody.
-func setBodyWithoutRetry(r *http.Request, body []byte) {
+func setBodyWithoutRetry(r *http.Request, body *tarragonwell.Body) {
 	for _, name := range idempotencyKeyHeaders {
 		r.Header.Del(name)
 	}
-	if len(body) == 0 && !transportRetriesMethod(r.Method) {
+	if body.Length() == 0 && !transportRetriesMethod(r.Method) {
 		r.Body = http.NoBody
 		return
 	}
-	r.ContentLength = int64(len(body))
-	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.ContentLength = body.Length()
+	r.Body = bodyReader(body)
+}
+
+// bodyReader returns a reader of the body, which the transport closes, possibly after Send
+// has returned. A body of one block gets a type that the transport knows to be in memory,
+// so that it is sent with the header in one write. That reader does not hold the body: an
+// attempt that is given up may refer to the block until its connection is closed.
+func bodyReader(body *tarragonwell.Body) io.ReadCloser {
+	if body == nil || len(body.Blocks) == 1 {
+		return io.NopCloser(bytes.NewReader(body.Bytes()))
+	}
+	return body.NewReader()
 }
 
 // transportRetriesMethod reports whether the transport retries a request without a body
--- a/internal/target/send_test.go
+++ b/internal/target/send_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -87,7 +88,7 @@
 			"Idempotency-Key":   {"k"},
 			"X-Idempotency-Key": {"k"},
 		},
-		Body:     []byte(body),
+		Body:     tarragonwell.NewBody([]byte(body)),
 		Deadline: time.Now().Add(5 * time.Second),
 		Route: &tarragonwell.Route{
 			Kind: &tarragonwell.Kind{
@@ -343,3 +344,67 @@
 		t.Errorf("continued: got %v, want no error", err)
 	}
 }
+
+// blockRecorder counts the blocks of a body that are written from where they are held.
+type blockRecorder struct {
+	net.Conn
+	body  *tarragonwell.Body
+	found atomic.Int64
+}
+
+func (r *blockRecorder) Write(p []byte) (int, error) {
+	for _, block := range r.body.Blocks {
+		if len(p) == len(block) && &p[0] == &block[0] {
+			r.found.Add(1)
+		}
+	}
+	return r.Conn.Write(p)
+}
+
+// TestBodyIsWrittenFromItsBlocks guards against a copy of the body between the buffer into
+// which it was read and the connection, and against a body that stays held after the
+// transport has sent it.
+func TestBodyIsWrittenFromItsBlocks(t *testing.T) {
+	var received atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		received.Store(n)
+	}))
+	defer server.Close()
+	released := make(chan struct{})
+	body := &tarragonwell.Body{
+		Size:    3 * 8192,
+		Release: func() { close(released) },
+	}
+	for range 3 {
+		body.Blocks = append(body.Blocks, make([]byte, 8192))
+	}
+	target := newClient(t, server.Listener.Addr().String())
+	recorder := &blockRecorder{
+		body: &tarragonwell.Body{
+			Blocks: body.Blocks,
+		},
+	}
+	target.repeatable.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, network, address)
+		recorder.Conn = conn
+		return &trackedConn{
+			Conn: recorder,
+		}, err
+	}
+	c := newCall(http.MethodPost, "", true)
+	c.Body = body
+	if err := sendAndRead(target, c); err != nil {
+		t.Fatal(err)
+	}
+	body.Close()
+	<-released
+	if got, want := received.Load(), int64(3*8192); got != want {
+		t.Errorf("received: got %d bytes, want %d", got, want)
+	}
+	// The first block shares a write with the header.
+	if got, want := recorder.found.Load(), int64(2); got < want {
+		t.Errorf("blocks that were written in place: got %d, want %d or more", got, want)
+	}
+}
--- a/pkg/tarragonwell/call.go
+++ b/pkg/tarragonwell/call.go
@@ -17,7 +17,7 @@
 	RequestURI string
 	Header     map[string][]string
 	// Body is buffered in full, so that a repeatable call can be sent again.
-	Body  []byte
+	Body  *Body
 	Route *Route
 	// Service is the route's service, or the one selected from the route's Split.
 	Service *Service
--- a/pkg/tarragonwell/operation.go
+++ b/pkg/tarragonwell/operation.go
@@ -26,7 +26,7 @@
 	// RequestURI is the escaped path with the query.
 	RequestURI  string
 	Header      map[string][]string
-	Body        []byte
+	Body        *Body
 	Deadline    time.Time
 	RetriesLeft int
 }
--- a/pkg/tarragonwell/operation/table.go
+++ b/pkg/tarragonwell/operation/table.go
@@ -286,13 +286,18 @@
 // Fingerprint returns a hash of a request. A ticket is bound to the fingerprint of the
 // request that it was first used for. Each part is hashed with its length, so that
 // different requests can't be concatenated to the same input.
-func Fingerprint(method, path string, body []byte) []byte {
+func Fingerprint(method, path string, body *tarragonwell.Body) []byte {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(method), []byte(path), body} {
+	for _, part := range []*tarragonwell.Body{tarragonwell.NewBody([]byte(method)), tarragonwell.NewBody([]byte(path)), body} {
 		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		binary.BigEndian.PutUint64(size[:], uint64(part.Length()))
 		h.Write(size[:])
-		h.Write(part)
+		if part == nil {
+			continue
+		}
+		for _, block := range part.Blocks {
+			h.Write(block)
+		}
 	}
 	return h.Sum(nil)
 }
