Count the buffers of streamed responses

Cause: a response that is streamed to a slow reader holds a buffer of 32 KiB that no budget counted. Change: the buffer is reserved from ResponseBytes; if it is spent, the response is sent with a buffer of 4 KiB, as it may not be refused once the call has run.

--- a/internal/caller/body_test.go
+++ b/internal/caller/body_test.go
@@ -159,3 +159,57 @@
 		_ = response.Body.Close()
 	}
 }
+
+// streamDispatcher ends each call with a response whose body is streamed.
+type streamDispatcher struct {
+	body io.ReadCloser
+}
+
+func (d streamDispatcher) Dispatch(context.Context, *tarragonwell.Call) tarragonwell.Result {
+	return tarragonwell.Result{
+		Outcome: tarragonwell.OutcomeComplete,
+		Response: &tarragonwell.Response{
+			Status: http.StatusOK,
+			Body:   d.body,
+			Length: -1,
+		},
+	}
+}
+
+// TestStreamedResponsesAreAccounted guards against buffers of streamed responses that are not
+// part of the account, and against a response that is not sent because the account is spent.
+func TestStreamedResponsesAreAccounted(t *testing.T) {
+	for _, x := range []struct {
+		limit, held int64
+	}{
+		{
+			limit: 2 * streamBufferBytes,
+			held:  streamBufferBytes,
+		},
+		{
+			limit: 1,
+			held:  0,
+		},
+	} {
+		body, target := io.Pipe()
+		s := newTestServer(t, streamDispatcher{
+			body: body,
+		})
+		budget := &s.options.Common.ResponseBytes
+		budget.SetLimit(x.limit)
+		done := make(chan *httptest.ResponseRecorder)
+		go func() { done <- post(s, "") }()
+		content := strings.Repeat("x", 3*streamBufferBytes)
+		_, _ = io.WriteString(target, content)
+		if got, want := budget.Reserved(), x.held; got != want {
+			t.Errorf("limit %d: got %d bytes held, want %d", x.limit, got, want)
+		}
+		_ = target.Close()
+		if got, want := (<-done).Body.String(), content; got != want {
+			t.Errorf("limit %d: got %d bytes, want %d", x.limit, len(got), len(want))
+		}
+		if got, want := budget.Reserved(), int64(0); got != want {
+			t.Errorf("limit %d: got %d bytes held at the end, want %d", x.limit, got, want)
+		}
+	}
+}
--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -12,7 +12,11 @@
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
-const streamBufferBytes = 32 << 10
+const (
+	streamBufferBytes = 32 << 10
+	// minStreamBufferBytes is no more than the buffers that a connection has anyway.
+	minStreamBufferBytes = 4 << 10
+)
 
 // internalHeaders are exchanged between instances and targets only and removed
 // from responses to callers.
@@ -36,7 +40,7 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(r.Response.Length, 10))
 	}
 	w.WriteHeader(r.Response.Status)
-	if err := copyBody(w, r.Response.Body, call.Route.Kind.Long); err != nil && control.Enabled(control.TruncationAbort) {
+	if err := s.copyBody(w, r.Response.Body, call.Route.Kind.Long); err != nil && control.Enabled(control.TruncationAbort) {
 		// Abort the connection, so that the caller doesn't take a truncated
 		// response for a complete one.
 		panic(http.ErrAbortHandler)
@@ -44,22 +48,26 @@
 }
 
 // copyBody copies a response's body to the caller. If flush is set, as for long
-// (streamed) kinds, it flushes after each read.
-func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
-	if !flush {
-		_, err := io.Copy(w, body)
+// (streamed) kinds, it flushes after each read. A body that is buffered is written from its
+// buffer.
+func (s *Server) copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
+	if buffered, ok := body.(io.WriterTo); ok && !flush {
+		_, err := buffered.WriteTo(w)
 		return err
 	}
+	buffer, release := s.streamBuffer()
+	defer release()
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				return writeErr
 			}
-			if flushErr := controller.Flush(); flushErr != nil {
-				return flushErr
+			if flush {
+				if flushErr := controller.Flush(); flushErr != nil {
+					return flushErr
+				}
 			}
 		}
 		if err == io.EOF {
@@ -71,6 +79,17 @@
 	}
 }
 
+// streamBuffer returns a buffer for a streamed response, which a slow reader may leave
+// unread for long, and the function that returns it to the account. If the account is spent,
+// the buffer is small and not counted.
+func (s *Server) streamBuffer() (buffer []byte, release func()) {
+	budget := &s.options.Common.ResponseBytes
+	if !budget.Reserve(streamBufferBytes) {
+		return make([]byte, minStreamBufferBytes), func() {}
+	}
+	return make([]byte, streamBufferBytes), func() { budget.Release(streamBufferBytes) }
+}
+
 // writeStoredResult writes the response of an operation from its stored result. A
 // result without a target's response, or with the outcome not-run, is written as a
 // local response.
--- a/internal/common/block_buffer_test.go
+++ b/internal/common/block_buffer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -83,3 +84,51 @@
 		}
 	}
 }
+
+// stopWriter takes a number of writes and then fails, as the connection of a caller that
+// stops reading.
+type stopWriter struct {
+	writes int
+}
+
+func (w *stopWriter) Write(p []byte) (int, error) {
+	if w.writes == 0 {
+		return 0, io.ErrClosedPipe
+	}
+	w.writes--
+	return len(p), nil
+}
+
+// TestWrittenBlocksAreReturned guards against a response that holds all of its memory until
+// a slow reader has read the last byte.
+func TestWrittenBlocksAreReturned(t *testing.T) {
+	budget := &ByteBudget{}
+	b := &BlockBuffer{
+		Budget: budget,
+	}
+	const length = 3*blockSize + 1
+	if _, err := b.Fill(strings.NewReader(strings.Repeat("x", length)), length, length); err != nil {
+		t.Fatal(err)
+	}
+	var atWrite []int64
+	w := io.MultiWriter(&stopWriter{
+		writes: 3,
+	}, writerFunc(func() { atWrite = append(atWrite, budget.Reserved()) }))
+	if _, err := b.WriteTo(w); err != io.ErrClosedPipe {
+		t.Errorf("got %v, want %v", err, io.ErrClosedPipe)
+	}
+	if got, want := atWrite, []int64{length, length - blockSize, length - 2*blockSize}; !slices.Equal(got, want) {
+		t.Errorf("reserved at each write: got %v, want %v", got, want)
+	}
+	if got, want := budget.Reserved(), int64(0); got != want {
+		t.Errorf("reserved after the caller has left: got %d, want %d", got, want)
+	}
+}
+
+// writerFunc calls itself at each write.
+type writerFunc func()
+
+func (f writerFunc) Write(p []byte) (int, error) {
+	f()
+	return len(p), nil
+}
