Count the operations that peers forward

Cause: an operation that another instance forwards was held outside every budget, twice while its message is decoded, and its sender holds a second copy. Change: the holder reserves twice the length of the message before it reads it, the sender the size of the body. Without room the forwarding fails, and the outcome is unknown as for a home that can't be reached. Gossip is not affected.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -128,6 +128,12 @@
 
 // Forward implements tarragonwell.Forwarder. The error wraps ErrRequestFailed.
 func (p *Peers) Forward(ctx context.Context, address string, o *tarragonwell.Operation) (tarragonwell.ForwardResponse, error) {
+	// The message holds a second copy of the body.
+	budget, size := &p.options.Common.RequestBytes, o.Body.Length()
+	if !budget.Reserve(size) {
+		return tarragonwell.ForwardResponse{}, eris.Wrap(ErrRequestFailed, "no memory for the message")
+	}
+	defer budget.Release(size)
 	response, err := p.serviceClient(address).Operate(ctx, connect.NewRequest(operationToProto(o)))
 	if err != nil {
 		return tarragonwell.ForwardResponse{}, eris.Wrap(ErrRequestFailed, err.Error())
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -58,10 +58,35 @@
 // Handler returns the server's HTTP handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(tarragonwellv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes)))
+	path, service := tarragonwellv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
+	mux.Handle(path, service)
+	mux.Handle(tarragonwellv1connect.PeerServiceOperateProcedure, s.accounted(service))
 	return mux
 }
 
+// operationCopies is the number of copies of an operation's body while it runs: the message
+// and the decoded body.
+const operationCopies = 2
+
+// accounted returns a handler that reserves memory for a message before it is read. Only
+// operations carry bodies of callers; gossip must not fail for lack of memory. The peer
+// reports the outcome of an operation that is rejected here as unknown.
+func (s *Server) accounted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := r.ContentLength
+		if size < 0 || size > maxMessageBytes {
+			size = maxMessageBytes
+		}
+		budget := &s.Peers.options.Common.RequestBytes
+		if !budget.Reserve(operationCopies * size) {
+			http.Error(w, "no memory for the operation", http.StatusServiceUnavailable)
+			return
+		}
+		defer budget.Release(operationCopies * size)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Exchange merges a peer's gossip and responds with the instance's own.
 func (s *Server) Exchange(ctx context.Context, r *connect.Request[pb.ExchangeRequest]) (*connect.Response[pb.ExchangeResponse], error) {
 	// The sender's own record comes first.
