--- a/internal/instance/rules.go
+++ b/internal/instance/rules.go
@@ -19,6 +19,9 @@
 		LearntFrom: from,
 		Detail:     fmt.Sprintf("digest %x, %d rules, %d changed", next.Version.Digest[:4], len(next.Lines), len(changes)),
 	})
+	if limit, size := rc.common.RequestBytes.CurrentLimit(), next.Limits.RequestBodyBytes; limit > 0 && size > limit {
+		rc.common.Log.Warn("body-limit-exceeds-memory", "body-limit", size, "memory-for-bodies", limit)
+	}
 	if previous == nil {
 		return
 	}
--- a/pkg/tarragonwell/admission/memory.go
+++ b/pkg/tarragonwell/admission/memory.go
@@ -8,9 +8,9 @@
 	// sockets.
 	outsideBytes = 24 << 20
 	// outsideShare is a further part of the memory, as its inverse, for the socket buffers
-	// that grow with the traffic, and for what the runtime allocates beyond its soft limit
-	// until a collection ends.
-	outsideShare = 16
+	// that grow with the traffic to several megabytes for each large body, and for what the
+	// runtime allocates beyond its soft limit until a collection ends.
+	outsideShare = 8
 	// stateBytes is the memory for rules, targets, peers, metrics and goroutines.
 	stateBytes = 24 << 20
 )
@@ -32,27 +32,27 @@
 // PlanMemory divides the memory of the machine. reserved is the bound on further memory
 // that the instance keeps for itself.
 //
-// A quarter of what is left between the instance's own state and the soft limit is garbage
+// A fifth of what is left between the instance's own state and the soft limit is garbage
 // that is not yet collected: bodies are large blocks without pointers, so that a collection
 // is cheap and may run often. The parts together may exceed the account, as they rarely
-// reach their bounds at the same time. Bodies get three quarters of it: one of the
-// largest size must fit on a small machine, and the rest stays for heads and connections,
-// without which no caller can be answered. Responses get a quarter only, since those that
-// find no room are streamed.
+// reach their bounds at the same time. Bodies get four fifths of it: one of the largest size
+// must fit on a small machine, and the rest stays for heads and connections, without which
+// no caller can be answered. Responses get a fifth only, since those that find no room are
+// streamed.
 func PlanMemory(total, reserved int64) MemoryPlan {
 	if total <= 0 {
 		return MemoryPlan{}
 	}
 	soft := total - outsideBytes - total/outsideShare
 	// An account of 0 bytes would have no limit.
-	account := max(1, (soft-stateBytes-reserved)/4*3)
-	quarter := max(1, account/4)
+	account := max(1, (soft-stateBytes-reserved)/5*4)
+	fifth := max(1, account/5)
 	return MemoryPlan{
 		SoftLimit:   soft,
 		Account:     account,
-		Requests:    max(1, account-quarter),
-		Heads:       quarter,
-		Responses:   quarter,
-		Connections: quarter,
+		Requests:    max(1, account-fifth),
+		Heads:       fifth,
+		Responses:   fifth,
+		Connections: fifth,
 	}
 }
--- a/pkg/tarragonwell/admission/memory_test.go
+++ b/pkg/tarragonwell/admission/memory_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // TestPlanMemory guards against a division that lets the parts exceed the machine, or that
-// leaves no room for one body of 60 MiB on the smallest machine of a deployment.
+// leaves no room for one body of 64 MiB on the smallest machine of a deployment.
 func TestPlanMemory(t *testing.T) {
 	for _, total := range []int64{MinMemory, 184_000_000, 284_000_000, 536_000_000, 8 << 30} {
 		p := PlanMemory(total, 0)
@@ -13,7 +13,7 @@
 		if got, want := p.Requests+p.Heads, p.Account; got > want {
 			t.Errorf("%d bytes: bodies leave %d of %d bytes for heads, want %d or more", total, p.Account-p.Requests, want, p.Heads)
 		}
-		if got, want := p.Requests, int64(60<<20); total >= 184_000_000 && got < want {
+		if got, want := p.Requests, int64(64<<20); total >= 184_000_000 && got < want {
 			t.Errorf("%d bytes: got %d for bodies, want %d or more", total, got, want)
 		}
 	}
