--- a/internal/caller/log.go
+++ b/internal/caller/log.go
@@ -45,5 +45,6 @@
 		revision = routing.Rules.Version.Revision
 	}
 	s.options.Common.Log.Warn("request-turned-away", "call", s.dialect.CallID(r.Header), "host", r.Host,
-		"method", r.Method, "path", r.URL.Path, "reason", reason, "rules-revision", revision)
+		"method", r.Method, "path", r.URL.Path, "reason", reason, "rules-revision", revision,
+		"body-bytes", r.ContentLength, "held-bytes", s.options.Common.Memory.Reserved())
 }
