Name both sizes when a body does not fit into the memory

Cause: the error named a field that may not be in the file, and a caller that expects to be told to continue was waited for, though it sends no body.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -100,8 +100,9 @@
 // request's body, for discardTimeout at most. A connection that is closed while its caller
 // sends is reset, and the caller may then lose a response that it has not read.
 func (s *Server) discardBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 || r.ProtoMajor > 1 {
-		// A stream of HTTP/2 ends without its connection.
+	if r.ContentLength == 0 || r.ProtoMajor > 1 || r.Header.Get("Expect") != "" {
+		// A stream of HTTP/2 ends without its connection, and a caller that expects to be
+		// told to continue has not begun to send.
 		return
 	}
 	s.setReadDeadline(w, time.Now().Add(discardTimeout))
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -275,7 +275,7 @@
 		c.Fail("limits", "a size is out of range")
 	}
 	if s.MemoryBytes > 0 && s.MemoryPlan().Requests < s.MaxRequestBodyBytes {
-		c.Fail("limits.request-body-bytes", fmt.Sprintf("a body of this size does not fit into the memory: want at most %d", s.MemoryPlan().Requests))
+		c.Fail("limits", fmt.Sprintf("a body of request-body-bytes (%d) does not fit into the memory, which leaves %d for bodies", s.MaxRequestBodyBytes, s.MemoryPlan().Requests))
 	}
 	c.OneOf("log.level", s.LogLevel, "debug", "info", "warn", "error")
 }
--- a/pkg/settingsfile/settings_test.go
+++ b/pkg/settingsfile/settings_test.go
@@ -88,7 +88,7 @@
 		{
 			name:    "body larger than the memory for bodies",
 			content: validSettings + "limits: {memory-megabytes: 184, request-body-bytes: 100000000}\n",
-			want:    "f:7: limits.request-body-bytes: a body of this size does not fit into the memory",
+			want:    "f:7: limits: a body of request-body-bytes (100000000) does not fit into the memory",
 		},
 		{
 			name:    "empty file",
