--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -87,7 +87,7 @@
 		ConnectionBytes: &c.ConnectionBytes,
 		HeadBytes:       &c.HeadBytes,
 		LargeHeadBytes: &common.ByteBudget{
-			Limit:  c.HeadBytes.Limit / 100 * largeHeadShare,
+			Limit:  c.HeadBytes.CurrentLimit() / 100 * largeHeadShare,
 			Parent: &c.HeadBytes,
 		},
 		Limits:            s.limits,
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
@@ -74,7 +75,9 @@
 		overrides: c.Set,
 		instance:  i,
 		log:       l,
+		softLimit: debug.SetMemoryLimit(-1),
 	}
+	r.setMemoryLimit(s)
 	defer runInBackground(r.run)()
 	if err := i.Run(ctx); err != nil {
 		l.Error("failed", "error", err)
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/yamldoc"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
 
 // Settings holds a validated settings file with defaults applied.
@@ -81,6 +82,8 @@
 	MaxTotalHeadBytes int64
 	// MaxConnectionBytes bounds the memory for the open connections of callers.
 	MaxConnectionBytes int64
+	// MemoryBytes is the memory of the machine for this process; 0 for no bound.
+	MemoryBytes int64
 	// MaxTickets bounds the outstanding tickets of operations, used or not.
 	MaxTickets int
 	// MaxOperationBytes bounds the total size of the retained responses to operations.
@@ -149,6 +152,9 @@
 	// minDescriptors leaves callers half of the descriptors beside those that are reserved
 	// for targets, peers and files.
 	minDescriptors = 128
+	// megabyte is the smaller of the usual meanings, so that a bound is never exceeded.
+	megabyte  = 1_000_000
+	maxMemory = 1 << 50
 )
 
 // ErrInvalid is joined with the errors of an invalid file, each of which is a
@@ -247,6 +253,7 @@
 		MaxDescriptors:         int(m.GetLimits().GetDescriptors()),
 		MaxTotalHeadBytes:      orDefault(int64(m.GetLimits().GetHeldHeadBytes()), defaultMaxTotalHeadBytes),
 		MaxConnectionBytes:     orDefault(int64(m.GetLimits().GetHeldConnectionBytes()), defaultMaxConnectionBytes),
+		MemoryBytes:            memoryBytes(m.GetLimits(), c),
 		MaxTickets:             orDefault(int(m.GetLimits().GetOperations()), defaultMaxTickets),
 		MaxOperationBytes:      orDefault(int(m.GetLimits().GetOperationBytes()), defaultMaxOperationBytes),
 		AuditRecords:           orDefault(int(m.GetLimits().GetAuditRecords()), defaultAuditRecords),
@@ -267,6 +274,33 @@
 	return s
 }
 
+// memoryBytes returns the memory of the machine in whichever unit it is set.
+func memoryBytes(m *pb.LimitSettings, c *yamldoc.Checker) int64 {
+	field, n := "limits.memory-bytes", m.GetMemoryBytes()
+	if m.GetMemoryMegabytes() > 0 {
+		if n > 0 {
+			c.Fail("limits.memory-megabytes", "limits.memory-bytes is set too")
+			return 0
+		}
+		field, n = "limits.memory-megabytes", uint64(m.GetMemoryMegabytes())*megabyte
+	}
+	if n > 0 && (n < admission.MinMemory || n > maxMemory) {
+		c.Fail(field, fmt.Sprintf("want 0 for no bound, or %d to %d bytes", admission.MinMemory, int64(maxMemory)))
+		return 0
+	}
+	return int64(n)
+}
+
+// MemoryPlan returns the division of MemoryBytes. The responses to operations that are
+// retained have a bound of their own.
+func (s *Settings) MemoryPlan() admission.MemoryPlan {
+	var reserved int64
+	if s.PlatformProtocol != PlatformPrepared {
+		reserved = int64(s.MaxOperationBytes)
+	}
+	return admission.PlanMemory(s.MemoryBytes, reserved)
+}
+
 func validate(s *Settings, c *yamldoc.Checker) {
 	c.Name("instance.name", s.Name)
 	c.Name("instance.data-center", s.DataCenter)
@@ -306,6 +340,9 @@
 	if s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors {
 		c.Fail("limits.descriptors", fmt.Sprintf("want %d or more", minDescriptors))
 	}
+	if s.MemoryBytes > 0 && s.MemoryPlan().Requests < s.MaxRequestBodyBytes {
+		c.Fail("limits", fmt.Sprintf("a body of request-body-bytes (%d) does not fit into the memory, which leaves %d for bodies", s.MaxRequestBodyBytes, s.MemoryPlan().Requests))
+	}
 	c.OneOf("log.level", s.LogLevel, "debug", "info", "warn", "error")
 }
 
