Let a warm-up time run on when the list is applied again

Cause: an entry states what remained of the warm-up time when it was written, and the scheduler added that to the current time whenever the list was applied. A target stayed warming up as long as anything in the list changed, and peers passed on the whole time.

Change: listing.Listing turns the time into an absolute end when it receives the entry. The same revision of an entry, received again, does not extend it, and ChangesSince passes on what is left. The time is capped at 1 h whatever an entry or a peer states.

Conclusion: TestWarmUpTimeRunsOn covers repeated lists, peers and the cap. The tests of listing, scheduling, instance and peer pass.

--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -219,7 +219,7 @@
 			rc.reconcile(ctx, st, wg)
 		}
 	case changesSinceMessage:
-		m.reply <- st.changesSince(m.revision, m.rules)
+		m.reply <- st.changesSince(rc.common.Clock.Now(), m.revision, m.rules)
 	case rulesHint:
 		rc.fetchRules(ctx, st, m)
 	case listHint:
@@ -252,9 +252,9 @@
 // changesSince returns the changes of the list after a revision, with the rules in force
 // if they are newer than the version. A refused file is left out: every instance refuses
 // it.
-func (st *reconcilerState) changesSince(revision uint64, rules tarragonwell.RulesVersion) tarragonwell.PlatformUpdate {
+func (st *reconcilerState) changesSince(now time.Time, revision uint64, rules tarragonwell.RulesVersion) tarragonwell.PlatformUpdate {
 	u := tarragonwell.PlatformUpdate{
-		List: st.list.ChangesSince(revision),
+		List: st.list.ChangesSince(now, revision),
 	}
 	if st.version().After(rules) {
 		u.Rules = &tarragonwell.PublishedRules{
--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -28,6 +28,8 @@
 	// are observed after an outage count as a mass removal. Smaller removals are taken
 	// to be real.
 	massRemovalShare = 0.34
+	// maxWarmUp bounds the warm-up time of a target, whatever its entry states.
+	maxWarmUp = time.Hour
 	// maxRemovals bounds the removals that are retained for peers.
 	maxRemovals = 2048
 )
@@ -98,7 +100,7 @@
 	listed := map[string]bool{}
 	for _, t := range c.Targets {
 		listed[t.Identity()] = true
-		l.put(t)
+		l.put(now, t)
 	}
 	for id, e := range l.targets {
 		if !listed[id] && e.target.Revision <= c.Revision {
@@ -113,7 +115,7 @@
 // merge applies the changes since an earlier revision.
 func (l *Listing) merge(now, confirmedAt time.Time, c *tarragonwell.ListChange) {
 	for _, t := range c.Targets {
-		l.put(t)
+		l.put(now, t)
 	}
 	for _, r := range c.Removed {
 		if r.Revision <= l.revision {
@@ -134,10 +136,12 @@
 }
 
 // put adds or updates an entry unless the present one has a later revision.
-func (l *Listing) put(t tarragonwell.ListedTarget) {
+func (l *Listing) put(now time.Time, t tarragonwell.ListedTarget) {
 	t.ID = t.Identity()
 	t.Delisted = false
 	e := l.targets[t.ID]
+	t.WarmUpUntil = warmUpEnd(now, t, e)
+	t.WarmUpRemaining = 0
 	if e == nil {
 		l.targets[t.ID] = &entry{
 			target: t,
@@ -151,6 +155,23 @@
 	e.removedAt = time.Time{}
 }
 
+// warmUpEnd returns the end of the warm-up time that an entry states. An entry that is
+// received again, with the revision and the start of the present one, does not extend it:
+// the time has been running since the first receipt.
+func warmUpEnd(now time.Time, t tarragonwell.ListedTarget, present *entry) time.Time {
+	if t.WarmUpRemaining <= 0 {
+		return time.Time{}
+	}
+	end := now.Add(min(t.WarmUpRemaining, maxWarmUp))
+	if present == nil || present.target.Revision != t.Revision || present.target.Born != t.Born {
+		return end
+	}
+	if known := present.target.WarmUpUntil; known.Before(end) {
+		return known
+	}
+	return end
+}
+
 // remove marks an entry as removed. An entry that is identified by its address only is
 // deleted immediately, because another target may soon have the address.
 func (l *Listing) remove(now, confirmedAt time.Time, id string, e *entry) {
@@ -231,8 +252,9 @@
 }
 
 // ChangesSince returns the changes after a revision, or the full list if the removals
-// since then are no longer retained. It returns nil before the first change.
-func (l *Listing) ChangesSince(revision uint64) *tarragonwell.ListChange {
+// since then are no longer retained, with the warm-up times that remain. It returns nil
+// before the first change.
+func (l *Listing) ChangesSince(now time.Time, revision uint64) *tarragonwell.ListChange {
 	if l.targets == nil {
 		return nil
 	}
@@ -246,7 +268,7 @@
 	}
 	for _, e := range l.targets {
 		if e.removedAt.IsZero() && (c.Since == 0 || e.target.Revision > revision) {
-			c.Targets = append(c.Targets, e.target)
+			c.Targets = append(c.Targets, withWarmUpRemaining(now, e.target))
 		}
 	}
 	if c.Since == 0 {
@@ -260,6 +282,15 @@
 	return c
 }
 
+// withWarmUpRemaining returns an entry for another instance, whose clock differs.
+func withWarmUpRemaining(now time.Time, t tarragonwell.ListedTarget) tarragonwell.ListedTarget {
+	if now.Before(t.WarmUpUntil) {
+		t.WarmUpRemaining = t.WarmUpUntil.Sub(now)
+	}
+	t.WarmUpUntil = time.Time{}
+	return t
+}
+
 // canComputeChanges reports whether changes since a revision can be computed: a full list
 // has been applied, and all entries have revisions of their own.
 func (l *Listing) canComputeChanges() bool {
--- a/pkg/tarragonwell/listing/listing_test.go
+++ b/pkg/tarragonwell/listing/listing_test.go
@@ -169,14 +169,14 @@
 			}
 			apply(&origin, c)
 			if rapid.IntRange(0, 3).Draw(t, "reader reads") == 0 {
-				apply(&reader, origin.ChangesSince(reader.Revision()))
+				apply(&reader, origin.ChangesSince(start, reader.Revision()))
 			}
 			if rapid.IntRange(0, 3).Draw(t, "follower fetches") == 0 {
-				apply(&follower, reader.ChangesSince(follower.Revision()))
+				apply(&follower, reader.ChangesSince(start, follower.Revision()))
 			}
 		}
-		apply(&reader, origin.ChangesSince(reader.Revision()))
-		apply(&follower, reader.ChangesSince(follower.Revision()))
+		apply(&reader, origin.ChangesSince(start, reader.Revision()))
+		apply(&follower, reader.ChangesSince(start, follower.Revision()))
 		later := start.Add(time.Minute)
 		for _, l := range []*Listing{&origin, &reader, &follower} {
 			l.DropRemoved(later)
@@ -190,3 +190,31 @@
 		}
 	})
 }
+
+// TestWarmUpTimeRunsOn guards against a warm-up time that starts anew when a list is
+// applied again or passed on: the target would then count as warming up for good.
+func TestWarmUpTimeRunsOn(t *testing.T) {
+	warming := target("a", 1)
+	warming.WarmUpRemaining = 3 * time.Second
+	var l, follower Listing
+	apply(t, &l, start, fullList(5, warming))
+	later := start.Add(2 * time.Second)
+	apply(t, &l, later, fullList(6, warming))
+	if got, want := l.Targets()["s"][0].WarmUpUntil, start.Add(3*time.Second); !got.Equal(want) {
+		t.Errorf("after a second full list: got %v, want %v", got, want)
+	}
+	change := l.ChangesSince(later, 0)
+	if got, want := change.Targets[0].WarmUpRemaining, time.Second; got != want {
+		t.Errorf("passed on: got %v, want %v", got, want)
+	}
+	apply(t, &follower, later, change)
+	if got, want := follower.Targets()["s"][0].WarmUpUntil, start.Add(3*time.Second); !got.Equal(want) {
+		t.Errorf("at a peer: got %v, want %v", got, want)
+	}
+	again := target("a", 7)
+	again.WarmUpRemaining = 1000 * time.Hour
+	apply(t, &l, later, fullList(7, again))
+	if got, want := l.Targets()["s"][0].WarmUpUntil, later.Add(time.Hour); !got.Equal(want) {
+		t.Errorf("after a new entry with an implausible time: got %v, want %v", got, want)
+	}
+}
--- a/pkg/tarragonwell/published.go
+++ b/pkg/tarragonwell/published.go
@@ -66,9 +66,12 @@
 	// Born is a number that changes with each start of the target under the same ID.
 	// Only its equality matters. It is 0 if the list does not contain it.
 	Born uint64
-	// WarmUpRemaining is what remains of the target's warm-up time, during which it is
-	// slower than normal.
+	// WarmUpRemaining is what remained of the target's warm-up time, during which it is
+	// slower than normal, when the entry was received. It is set in a ListChange only.
 	WarmUpRemaining time.Duration
+	// WarmUpUntil is the end of that time, counted from the receipt of the entry; zero if
+	// the target is not warming up. It is set by listing.Listing only.
+	WarmUpUntil time.Time
 	// Revision is the revision of the entry's latest change, or 0 if the list does
 	// not contain it.
 	Revision uint64
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -36,7 +36,7 @@
 		}
 		t.ListedLeaving = l.Leaving
 		t.Delisted = l.Delisted
-		t.WarmUpUntil = now.Add(l.WarmUpRemaining)
+		t.WarmUpUntil = l.WarmUpUntil
 	}
 	s.orderTargets()
 	s.configurePlacementProbes()
