--- a/pkg/tarragonwell/member.go
+++ b/pkg/tarragonwell/member.go
@@ -89,3 +89,17 @@
 func (i Incarnation) String() string {
 	return hex.EncodeToString(i[:len(i)/2])
 }
+
+// FleetView is an instance's view of the fleet. Views of different instances differ for a
+// time after changes, and for as long as a partition lasts.
+type FleetView struct {
+	// Self is the instance's own record.
+	Self Member
+	// Alive holds the other instances in state starting or serving that count as alive,
+	// ordered by address.
+	Alive []Member
+	// Known is the number of instances that may be running, itself included: those with a
+	// retained record that have not stopped, the seeds and the listed instances. It is 0
+	// in a view that has not been filled.
+	Known int
+}
