Read the warm-up rate and its bound from rules, settings and the prepared platform

Cause: the prepared platform states the rate of a target that is warming up (coldPerS), its remaining time (Cold-Ms in responses to probes) and the bound (coldOvershoot, coldSlack).

The template sets the bound; a deployment that does not have the values leaves the fields empty, which counts as not set in the settings file only: whether a rules file is valid must not differ between releases.

Conclusion: the values are read and checked, and not used yet.

--- a/internal/yamldoc/checks.go
+++ b/internal/yamldoc/checks.go
@@ -1,6 +1,7 @@
 package yamldoc
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -92,6 +93,13 @@
 	}
 }
 
+// NotNegative checks that a number is finite and at least 0.
+func (c *Checker) NotNegative(field string, x float64) {
+	if !(x >= 0) || math.IsInf(x, 0) {
+		c.Fail(field, "must be a number of at least 0")
+	}
+}
+
 // OneOf checks that a text is one of the allowed values. An empty text passes.
 func (c *Checker) OneOf(field, text string, allowed ...string) {
 	if text == "" {
--- a/internal/yamldoc/decode.go
+++ b/internal/yamldoc/decode.go
@@ -47,6 +47,9 @@
 	// LineOffset is the number of lines before the document in its file. It is
 	// added to all line numbers.
 	LineOffset int
+	// EmptyIsUnset makes a field without a value, such as "name:", count as not set. It is
+	// an error otherwise.
+	EmptyIsUnset bool
 	// fieldLines holds the line where each field is set, by path.
 	fieldLines map[string]int
 	errs       []*FieldError
@@ -133,6 +136,9 @@
 			d.fail(v.Key, fieldPath, "unknown field; known fields are %s", knownFields(m.Descriptor()))
 			continue
 		}
+		if d.EmptyIsUnset && v.Value.Type() == ast.NullType {
+			continue
+		}
 		d.fieldLines[fieldPath] = d.lineOf(v.Key)
 		d.decodeField(v.Value, fieldPath, m, f)
 	}
--- a/pkg/rulesfile/build.go
+++ b/pkg/rulesfile/build.go
@@ -126,6 +126,7 @@
 	}
 	c.Fraction("retry-ratio", m.RetryRatio)
 	c.OneOf("policy", m.Policy, policy.Names()...)
+	c.NotNegative("warm-up-rate", m.WarmUpRate)
 	s := &tarragonwell.Service{
 		Name:         m.Name,
 		Organisation: m.Organisation,
@@ -134,6 +135,7 @@
 		ProbeBudget:  m.ProbeBudget,
 		RetryRatio:   m.RetryRatio,
 		Ramp:         c.Duration("ramp", m.Ramp, defaultRamp),
+		WarmUpRate:   m.WarmUpRate,
 		Policy:       m.Policy,
 		Line:         line,
 	}
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -80,8 +80,8 @@
 	Budgets  Budgets
 }
 
-// Budgets holds the budgets of the fleet. They apply only with PlatformPrepared, whose
-// rules contain none.
+// Budgets holds the budgets of the fleet. Unless stated otherwise they apply only with
+// PlatformPrepared, whose rules contain none.
 type Budgets struct {
 	// RetryRatio is the maximum ratio of retries to first attempts, from 0 to 1.
 	RetryRatio float64
@@ -96,6 +96,11 @@
 	// InstancesAtMost is the expected maximum number of instances, by which the
 	// budgets are divided. It does not limit the size of the fleet.
 	InstancesAtMost int
+	// WarmUpOvershoot and WarmUpSlack bound the calls to a target that is warming up, also
+	// with PlatformOwn: in any second at most Service.WarmUpRate times WarmUpOvershoot
+	// plus WarmUpSlack, from all instances together. They are not bounded if both are 0.
+	WarmUpOvershoot float64
+	WarmUpSlack     float64
 }
 
 // Values of Settings.PlatformProtocol.
@@ -144,7 +149,11 @@
 // with ErrInvalid.
 func Parse(name string, content []byte) (*Settings, error) {
 	var message pb.Settings
-	var d yamldoc.Decoder
+	// A template of the prepared platform leaves a field empty if the deployment does not
+	// have the value.
+	d := yamldoc.Decoder{
+		EmptyIsUnset: true,
+	}
 	errs := d.Decode(content, &message)
 	if len(errs) == 0 {
 		c := &yamldoc.Checker{
@@ -200,6 +209,8 @@
 			ProbeBudget:     m.GetBudgets().GetProbes(),
 			PlacementProbes: int(m.GetBudgets().GetSurvey()),
 			InstancesAtMost: orDefault(int(m.GetBudgets().GetInstancesAtMost()), defaultInstancesAtMost),
+			WarmUpOvershoot: m.GetBudgets().GetWarmUpOvershoot(),
+			WarmUpSlack:     m.GetBudgets().GetWarmUpSlack(),
 		},
 	}
 	validate(s, c)
@@ -233,6 +244,8 @@
 	if s.Budgets.RetrySlack < 0 || s.Budgets.ProbeBudget < 0 {
 		c.Fail("budgets", "a budget is negative")
 	}
+	c.NotNegative("budgets.warm-up-overshoot", s.Budgets.WarmUpOvershoot)
+	c.NotNegative("budgets.warm-up-slack", s.Budgets.WarmUpSlack)
 	if s.MaxRequestBodyBytes < 0 || s.MaxResponseBufferBytes < 0 || s.MaxTotalResponseBytes < 0 {
 		c.Fail("limits", "a size is out of range")
 	}
--- a/pkg/settingsfile/settings_test.go
+++ b/pkg/settingsfile/settings_test.go
@@ -70,6 +70,16 @@
 			content: validSettings + "peers: {seeds: 3}\n",
 			want:    "f:7: peers.seeds: want a list",
 		},
+		{
+			name:    "negative warm-up bound",
+			content: validSettings + "budgets: {warm-up-overshoot: -1}\n",
+			want:    "f:7: budgets.warm-up-overshoot: must be a number of at least 0",
+		},
+		{
+			name:    "warm-up bound not a number",
+			content: validSettings + "budgets: {warm-up-slack: NaN}\n",
+			want:    "f:7: budgets.warm-up-slack: must be a number of at least 0",
+		},
 		{
 			name:    "empty file",
 			content: "",
@@ -89,6 +99,22 @@
 	}
 }
 
+// TestEmptyValueIsUnset guards against an instance that does not start because the
+// deployment does not have a value of the template.
+func TestEmptyValueIsUnset(t *testing.T) {
+	s, err := Parse("f", []byte(validSettings+"budgets:\n  instances-at-most:\n  warm-up-overshoot: 1.5\n  warm-up-slack: \n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Budgets{
+		InstancesAtMost: defaultInstancesAtMost,
+		WarmUpOvershoot: 1.5,
+	}
+	if got := s.Budgets; got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 func TestLoadMissingFile(t *testing.T) {
 	_, err := Load("no/such/file.yaml")
 	if err == nil || !strings.Contains(err.Error(), "no/such/file.yaml") {
--- a/pkg/tarragonwell/call.go
+++ b/pkg/tarragonwell/call.go
@@ -68,6 +68,10 @@
 	// RetryAfter is how long the target asks to be sent nothing; 0 if it does not ask.
 	// It is at most MaxRetryAfter.
 	RetryAfter time.Duration
+	// WarmUpStated is set if the target states how long it is still warming up, which is
+	// WarmUpRemaining; 0 if it is not.
+	WarmUpStated    bool
+	WarmUpRemaining time.Duration
 	// Ignored explains which part of the notice was ignored or bounded, and why; empty
 	// if all of it is in effect.
 	Ignored string
@@ -77,6 +81,10 @@
 // a faulty target does not exclude itself for good.
 const MaxRetryAfter = 10 * time.Minute
 
+// MaxWarmUp bounds the time for which a target can state that it is warming up, for the
+// same reason.
+const MaxWarmUp = time.Hour
+
 // Result is the final result of a call.
 type Result struct {
 	Outcome Outcome
--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -28,8 +28,6 @@
 	// are observed after an outage count as a mass removal. Smaller removals are taken
 	// to be real.
 	massRemovalShare = 0.34
-	// maxWarmUp bounds the warm-up time of a target, whatever its entry states.
-	maxWarmUp = time.Hour
 	// maxRemovals bounds the removals that are retained for peers.
 	maxRemovals = 2048
 )
@@ -162,7 +160,7 @@
 	if t.WarmUpRemaining <= 0 {
 		return time.Time{}
 	}
-	end := now.Add(min(t.WarmUpRemaining, maxWarmUp))
+	end := now.Add(min(t.WarmUpRemaining, tarragonwell.MaxWarmUp))
 	if present == nil || present.target.Revision != t.Revision || present.target.Born != t.Born {
 		return end
 	}
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -125,6 +125,9 @@
 	// Ramp is the slow-start time of a new or recovered target, during which it gets
 	// fewer calls.
 	Ramp time.Duration
+	// WarmUpRate is the rate of calls that a target sustains while it is warming up, in
+	// calls per second and target, for all instances together; 0 means no limit.
+	WarmUpRate float64
 	// Policy is the name of the load-balancing policy; see package policy.
 	Policy string
 	Line   RuleLine
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -71,8 +71,13 @@
 	Ejections int
 	// RampStart is when the target joined or recovered, which starts its slow start.
 	RampStart time.Time
-	// WarmUpUntil is the end of the target's warm-up according to the platform.
-	WarmUpUntil time.Time
+	// WarmUpUntil is the end of the target's warm-up, according to the platform or, if
+	// WarmUpReported is set, to the target itself.
+	WarmUpUntil    time.Time
+	WarmUpReported bool
+	// ListedWarmUpUntil is the end of the target's warm-up according to the platform when
+	// its list was last applied.
+	ListedWarmUpUntil time.Time
 	// PlacementProbedAt is when the target last responded to a placement probe.
 	PlacementProbedAt time.Time
 	// LeavingReported is set once the target has told this instance that it is
