Limit the calls to targets that are warming up

Cause: a data centre that returns cold was sent as many calls as its targets had slots.

Change: the scheduler treats a target that is warming up as not eligible unless this instance is one of its senders and has a token, in first attempts, retries, hedges, trial calls, resumed downloads and placement probes. If only such targets are left, calls that get no token are rejected at once with a Retry-After, also those in the queue. The reconciler passes the view of the fleet to the services each second, a target's Cold-Ms takes precedence over the list unless that states a later end, and a pause of the process makes the instance wait until its view has settled again. Logs, metrics and status show targets that are warming up.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -54,10 +54,10 @@
 	for _, x := range s.GetServices() {
 		fmt.Fprintf(w, "\nSERVICE %s\tpolicy %s\tin flight %d\tqueued %d\tlimit %.0f\n", x.GetName(), x.GetPolicy(), x.GetInFlight(), x.GetQueued(), x.GetLimit())
 		// OTHERS is the number of calls of other instances at the target.
-		fmt.Fprintln(w, "TARGET\tDATA-CENTER\tSTATE\tIN-FLIGHT\tOTHERS\tLATENCY-MS\tSENT\tFAILED\tSHED\tPROBES")
+		fmt.Fprintln(w, "TARGET\tDATA-CENTER\tSTATE\tIN-FLIGHT\tOTHERS\tLATENCY-MS\tSENT\tFAILED\tSHED\tPROBES\tWARM-UP-MS\tSENDER")
 		for _, t := range x.GetTargets() {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%.2f\t%d\t%d\t%d\t%d\n", t.GetAddress(), t.GetDataCenter(), t.GetState(),
-				t.GetInFlight(), t.GetReportedLoad(), t.GetLatencyMs(), t.GetSent(), t.GetFailed(), t.GetShed(), t.GetProbes())
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%v\n", t.GetAddress(), t.GetDataCenter(), t.GetState(),
+				t.GetInFlight(), t.GetReportedLoad(), t.GetLatencyMs(), t.GetSent(), t.GetFailed(), t.GetShed(), t.GetProbes(), t.GetWarmUpMs(), t.GetWarmUpSender())
 		}
 	}
 	return w.Flush()
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/listing"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/warmup"
 )
 
 const (
@@ -93,6 +94,10 @@
 	invalidEntries map[string]bool
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
+	// roster counts the instances that may be running.
+	roster warmup.Roster
+	// fleetSetAt is when the services were last given a view of the fleet.
+	fleetSetAt time.Time
 }
 
 // fetchKind is the kind of a fetch from a peer.
@@ -190,6 +195,7 @@
 				rc.reconcile(ctx, st, &wg)
 			}
 			rc.updateCounts(st)
+			rc.updateFleet(st)
 			rc.applyLeaving(st)
 		}
 	}
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/tarragonwell/tarragonwell/internal/service"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -36,7 +38,7 @@
 	for name, rule := range st.rules.Services {
 		r := st.running[name]
 		if r == nil {
-			st.running[name] = rc.startService(ctx, wg, rule, st.counts, byService[name])
+			st.running[name] = rc.startService(ctx, wg, rule, st, byService[name])
 			continue
 		}
 		r.dispatcher.Configure(rule, st.counts.maxInstances, st.counts.serving)
@@ -86,6 +88,37 @@
 	}
 }
 
+// fleetInterval is the interval at which the services are given the view of the fleet. It
+// is well below the age at which the view counts as outdated.
+const fleetInterval = time.Second
+
+// updateFleet passes the view of the fleet to the services that limit the calls to targets
+// which are warming up.
+func (rc *reconciler) updateFleet(st *reconcilerState) {
+	now := rc.common.Clock.Now()
+	if st.rules == nil || now.Sub(st.fleetSetAt) < fleetInterval {
+		return
+	}
+	st.fleetSetAt = now
+	view := rc.fleetView(st)
+	for name, r := range st.running {
+		if st.rules.Services[name].WarmUpRate > 0 {
+			r.dispatcher.SetFleet(view)
+		}
+	}
+}
+
+// fleetView returns the view of the fleet. The listed instances are taken from the list
+// itself, because the peers' task learns of them only after the services have their targets.
+func (rc *reconciler) fleetView(st *reconcilerState) tarragonwell.FleetView {
+	s := rc.peers.Snapshot()
+	addresses := slices.Clone(s.BootstrapAddresses)
+	for _, i := range st.list.Instances() {
+		addresses = append(addresses, i.PeerAddress)
+	}
+	return st.roster.View(rc.common.Clock.Now(), s.Self, s.Records, s.Alive, addresses)
+}
+
 // removeServices removes the services that are no longer in the rules and returns
 // them, still running.
 func (st *reconcilerState) removeServices() []*runningService {
@@ -101,14 +134,15 @@
 
 // startService starts a service and returns it. The service stops when ctx ends or it
 // is stopped.
-func (rc *reconciler) startService(ctx context.Context, wg *sync.WaitGroup, rule *tarragonwell.Service, counts fleetCounts, targets []tarragonwell.ListedTarget) *runningService {
+func (rc *reconciler) startService(ctx context.Context, wg *sync.WaitGroup, rule *tarragonwell.Service, st *reconcilerState, targets []tarragonwell.ListedTarget) *runningService {
 	ctx, stop := context.WithCancel(ctx)
 	s := service.New(service.Options{
 		Common:               rc.common,
 		Dialect:              rc.targets,
 		ServiceRule:          rule,
-		BudgetDivisor:        counts.maxInstances,
-		ServingInstanceCount: counts.serving,
+		BudgetDivisor:        st.counts.maxInstances,
+		ServingInstanceCount: st.counts.serving,
+		Fleet:                rc.fleetView(st),
 		Targets:              targets,
 		AnnounceLeaving:      rc.peers.AnnounceLeaving,
 		AnnounceSuspect:      rc.peers.AnnounceSuspect,
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -90,6 +90,8 @@
 			Failed:       t.Failed,
 			Shed:         t.Shed,
 			Probes:       t.Probes,
+			WarmUpMs:     uint32(s.WarmUps[t.ID].Remaining.Milliseconds()),
+			WarmUpSender: s.WarmUps[t.ID].Sender,
 		})
 	}
 	return out
--- a/internal/peer/snapshot.go
+++ b/internal/peer/snapshot.go
@@ -8,8 +8,15 @@
 
 // Snapshot is the part of the view that other tasks can read. It is immutable.
 type Snapshot struct {
+	// Self is the instance's own member record.
+	Self tarragonwell.Member
 	// Alive lists the live peers, ordered by address.
 	Alive []tarragonwell.Member
+	// Records lists the retained member records of the peers, ordered by address.
+	Records []tarragonwell.Member
+	// BootstrapAddresses are those of the view: the peer addresses of the seeds and of the
+	// listed instances. It may contain the instance's own.
+	BootstrapAddresses []string
 	// knownAddresses contains the addresses of the recorded peers and the
 	// BootstrapAddresses of the view.
 	knownAddresses  map[string]bool
@@ -30,7 +37,10 @@
 func (p *Peers) publishSnapshot(st *state) {
 	now := p.options.Common.Clock.Now()
 	s := &Snapshot{
+		Self:                st.view.Self,
 		Alive:               st.view.Alive(now),
+		Records:             st.view.All(),
+		BootstrapAddresses:  st.view.BootstrapAddresses,
 		knownAddresses:      map[string]bool{},
 		holderAddresses:     map[tarragonwell.Incarnation]string{},
 		Leaving:             p.leavingForSnapshot(st),
@@ -39,7 +49,7 @@
 		IsReader:            st.view.IsReader(now, p.options.Common.Settings.Readers),
 		State:               st.view.Self.State,
 	}
-	for _, m := range st.view.All() {
+	for _, m := range s.Records {
 		s.knownAddresses[m.PeerAddress] = true
 	}
 	for _, a := range st.view.BootstrapAddresses {
--- a/internal/service/attempt.go
+++ b/internal/service/attempt.go
@@ -57,7 +57,7 @@
 // is wrapped in one, as if the call had been sent.
 func sendCall(ctx context.Context, l *lease, c *tarragonwell.Call) (*tarragonwell.Response, *tarragonwell.AttemptError) {
 	if control.Enabled(control.PauseCheck) {
-		c.SendBefore = l.grantedAt.Add(maxGrantAge)
+		c.SendBefore = l.grantedAt.Add(l.maxAge)
 		if l.expired() {
 			return nil, &tarragonwell.AttemptError{
 				Stage:  tarragonwell.StageNotSent,
--- a/internal/service/lease.go
+++ b/internal/service/lease.go
@@ -18,7 +18,7 @@
 // since.
 const maxGrantAge = pauseThreshold
 
-// errGrantExpired means that a call was not sent within maxGrantAge.
+// errGrantExpired means that a call was not sent within the lease's maxAge.
 var errGrantExpired = eris.New("the grant expired before the call was sent")
 
 // lease is the permit for one attempt at a target. It does not expire and must be
@@ -28,6 +28,9 @@
 	grant      *scheduling.Grant
 	target     *target.Client
 	grantedAt  time.Time
+	// maxAge is how long after the grant the call may be sent: maxGrantAge, or less if the
+	// target is limited to a rate of calls.
+	maxAge time.Duration
 	// expiresAt is the Clock.Uptime until which the call may be sent.
 	expiresAt time.Duration
 	// triedBefore is set if the call was sent to the target before.
@@ -86,14 +89,23 @@
 // lease returns the lease or the rejection in the reply to a request.
 func (dr *Dispatcher) lease(r scheduling.AcquireRequest, d acquireReply) (*lease, *scheduling.Rejection) {
 	if d.Grant == nil {
+		if d.Rejection.Reason == scheduling.ReasonWarmingUp {
+			dr.metrics.warmUpRejected.Inc()
+		}
 		return nil, d.Rejection
 	}
+	maxAge := maxGrantAge
+	if d.Grant.SendWithin > 0 {
+		maxAge = min(maxAge, d.Grant.SendWithin)
+		dr.metrics.warmUpCalls.Inc()
+	}
 	return &lease{
+		maxAge:      maxAge,
 		dispatcher:  dr,
 		grant:       d.Grant,
 		target:      d.target,
 		grantedAt:   d.grantedAt,
-		expiresAt:   d.grantedUptime + maxGrantAge,
+		expiresAt:   d.grantedUptime + maxAge,
 		triedBefore: slices.Contains(r.Exclude, d.Grant.TargetID),
 	}, nil
 }
--- a/internal/service/log.go
+++ b/internal/service/log.go
@@ -15,7 +15,8 @@
 	d.dispatcher.options.Common.RoutineLogger().Info("call-placed",
 		"call", d.call.ID, "attempt", d.attempts, "kind", d.call.Route.Kind.Name, "service", d.dispatcher.options.ServiceRule.Name,
 		"target", l.grant.TargetID, "hedge", hedge, "candidates", b.Eligible, "own-calls", b.InFlight,
-		"occupancy", b.TotalCalls, "slowness", b.ReportedSlowdown, "news-age-ms", b.ReportAge.Milliseconds(), "late", b.Late)
+		"occupancy", b.TotalCalls, "slowness", b.ReportedSlowdown, "news-age-ms", b.ReportAge.Milliseconds(), "late", b.Late,
+		"warming-up", l.grant.SendWithin > 0)
 }
 
 // logAttemptFailed logs why an attempt failed, and the stage that it had reached.
--- a/internal/service/messages.go
+++ b/internal/service/messages.go
@@ -58,6 +58,11 @@
 	servingInstanceCount int
 }
 
+// fleetMessage replaces the view of the fleet.
+type fleetMessage struct {
+	view tarragonwell.FleetView
+}
+
 // leavingMessage passes on an announcement that a target is leaving.
 type leavingMessage struct {
 	announced tarragonwell.LeavingTarget
@@ -95,6 +100,8 @@
 	Limit float64
 	// Targets holds copies of the targets' states.
 	Targets []tarragonwell.TargetState
+	// WarmUps holds the targets that are warming up, by ID.
+	WarmUps map[string]scheduling.WarmUp
 	// Now is when the snapshot was taken.
 	Now time.Time
 }
--- a/internal/service/metrics.go
+++ b/internal/service/metrics.go
@@ -22,6 +22,11 @@
 	rejected *metrics.Counter
 	// backoffs counts the responses with which targets asked to be sent nothing.
 	backoffs *metrics.Counter
+	// warmUpCalls counts the calls that were granted a target which was warming up.
+	warmUpCalls *metrics.Counter
+	// warmUpRejected counts the calls that were rejected because all targets were warming
+	// up.
+	warmUpRejected *metrics.Counter
 }
 
 func newMetricSet(s *metrics.Set, service string) metricSet {
@@ -31,12 +36,14 @@
 	// The published name "refused" means rejected by this instance; refusals by targets
 	// are published as "sheds".
 	return metricSet{
-		probes:   counter("probes"),
-		retries:  counter("retries"),
-		hedges:   counter("hedges"),
-		resumes:  counter("resumes"),
-		refusals: counter("sheds"),
-		rejected: counter("refused"),
-		backoffs: counter("backoffs"),
+		probes:         counter("probes"),
+		retries:        counter("retries"),
+		hedges:         counter("hedges"),
+		resumes:        counter("resumes"),
+		refusals:       counter("sheds"),
+		rejected:       counter("refused"),
+		backoffs:       counter("backoffs"),
+		warmUpCalls:    counter("warm_up_calls"),
+		warmUpRejected: counter("warm_up_refused"),
 	}
 }
--- a/internal/service/notice.go
+++ b/internal/service/notice.go
@@ -23,9 +23,35 @@
 	if r.Notice.RetryAfter > 0 {
 		dr.recordBackoff(now, st, r)
 	}
+	if r.Notice.WarmUpStated {
+		st.scheduler.RecordWarmUp(now, r.ID, r.Born, r.Notice.WarmUpRemaining)
+	}
 	st.restrictTarget(r.ID)
 }
 
+// logWarmUps logs the targets that have begun or ended their warm-up since the last check,
+// in services that limit the calls to such targets.
+func (dr *Dispatcher) logWarmUps(st *state) {
+	if st.serviceRule.WarmUpRate == 0 {
+		return
+	}
+	log := dr.options.Common.RoutineLogger()
+	warming := st.scheduler.WarmUps(st.lastRun)
+	for id, w := range warming {
+		if !st.warming[id] {
+			st.warming[id] = true
+			log.Info("target-warming-up", "service", st.serviceRule.Name, "target", id,
+				"left-ms", w.Remaining.Milliseconds(), "sender", w.Sender)
+		}
+	}
+	for id := range st.warming {
+		if _, ok := warming[id]; !ok {
+			delete(st.warming, id)
+			log.Info("target-warm", "service", st.serviceRule.Name, "target", id)
+		}
+	}
+}
+
 // recordLeaving records a target's own report that it is leaving, and announces it to the
 // peers if it is new.
 func (dr *Dispatcher) recordLeaving(now time.Time, st *state, r target.NoticeReport) {
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -62,6 +62,8 @@
 	BudgetDivisor int
 	// ServingInstanceCount is the known number of instances that are serving.
 	ServingInstanceCount int
+	// Fleet is the initial view of the fleet.
+	Fleet tarragonwell.FleetView
 	// Targets is the platform's initial list.
 	Targets []tarragonwell.ListedTarget
 	// AnnounceLeaving announces to the peers that a target reports that it is leaving:
@@ -103,6 +105,8 @@
 	// unannounced holds the leaving targets, by ID, whose announcement has to be
 	// repeated.
 	unannounced map[string]tarragonwell.LeavingTarget
+	// warming holds the IDs of the targets that were warming up at the last check.
+	warming map[string]bool
 	// lastRun is when the task last ran.
 	lastRun time.Time
 	// lastUptime is the Clock.Uptime at lastRun.
@@ -144,6 +148,14 @@
 	})
 }
 
+// SetFleet replaces the view of the fleet, which determines whether this instance may send
+// calls to targets that are warming up.
+func (dr *Dispatcher) SetFleet(v tarragonwell.FleetView) {
+	dr.mailbox.Post(fleetMessage{
+		view: v,
+	})
+}
+
 // MarkLeaving passes on an announcement that a target is leaving. from is its source,
 // for the audit trail.
 func (dr *Dispatcher) MarkLeaving(announced tarragonwell.LeavingTarget, from string) {
@@ -198,6 +210,7 @@
 		case <-pauseTicker.C:
 			dr.detectPause(st)
 			dr.announceLeaving(st)
+			dr.logWarmUps(st)
 		case m := <-dr.mailbox.Receive():
 			dr.detectPause(st)
 			dr.handleMessage(ctx, st, &targetTasks, m)
@@ -229,6 +242,7 @@
 		return
 	}
 	st.scheduler.SuspendGrants(now.Add(resyncTimeout))
+	st.scheduler.RecordPause(now)
 	dr.options.Common.Log.Warn("paused", "service", st.serviceRule.Name, "for", gap)
 	if dr.options.RequestResync != nil {
 		dr.options.RequestResync()
@@ -244,6 +258,7 @@
 		handles:       map[string]*targetHandle{},
 		queued:        map[uint64]chan<- acquireReply{},
 		unannounced:   map[string]tarragonwell.LeavingTarget{},
+		warming:       map[string]bool{},
 		lastRun:       dr.options.Common.Clock.Now(),
 		lastUptime:    dr.options.Common.Clock.Uptime(),
 	}
@@ -256,7 +271,10 @@
 		Policy:               initialPolicy,
 		ServingInstanceCount: dr.options.ServingInstanceCount,
 		BudgetDivisor:        dr.options.BudgetDivisor,
+		WarmUpOvershoot:      dr.options.Common.Settings.Budgets.WarmUpOvershoot,
+		WarmUpSlack:          dr.options.Common.Settings.Budgets.WarmUpSlack,
 	})
+	st.scheduler.SetFleet(st.lastRun, dr.options.Fleet)
 	return st
 }
 
@@ -282,6 +300,8 @@
 		dr.setTargets(ctx, st, targetTasks, m.targets)
 	case configureMessage:
 		dr.configure(st, m)
+	case fleetMessage:
+		st.scheduler.SetFleet(now, m.view)
 	case leavingMessage:
 		dr.markLeaving(now, st, m)
 	case suspectMessage:
@@ -345,6 +365,8 @@
 		DataCenter:           dr.options.Common.Settings.DataCenter,
 		ServingInstanceCount: m.servingInstanceCount,
 		BudgetDivisor:        m.budgetDivisor,
+		WarmUpOvershoot:      dr.options.Common.Settings.Budgets.WarmUpOvershoot,
+		WarmUpSlack:          dr.options.Common.Settings.Budgets.WarmUpSlack,
 	}
 	if m.serviceRule.Policy != st.policyName {
 		o.Policy = policy.New(m.serviceRule.Policy, common.NewRandom())
@@ -365,6 +387,7 @@
 		InFlight: st.scheduler.InFlight(),
 		Queued:   st.scheduler.Queued(),
 		Limit:    st.scheduler.Limit(),
+		WarmUps:  st.scheduler.WarmUps(now),
 		Now:      now,
 	}
 	for _, t := range st.scheduler.Targets() {
--- a/pkg/tarragonwell/scheduling/backoff.go
+++ b/pkg/tarragonwell/scheduling/backoff.go
@@ -62,10 +62,10 @@
 }
 
 // trialPending reports whether a target serves the trial call after its backoff, which
-// may soon make it available to others.
+// may soon make it available to others, unless it is warming up.
 func (s *Scheduler) trialPending(now time.Time) bool {
 	for _, t := range s.targets {
-		if !t.Leaving(now) && !now.Before(t.BackoffUntil) && t.BackoffTrial {
+		if !s.warmUpLimited(now, t) && !t.Leaving(now) && !now.Before(t.BackoffUntil) && t.BackoffTrial {
 			return true
 		}
 	}
--- a/pkg/tarragonwell/scheduling/decision.go
+++ b/pkg/tarragonwell/scheduling/decision.go
@@ -43,6 +43,9 @@
 	// Trial is set if the target is on trial after an ejection or a backoff, to be passed
 	// to Release.
 	Trial bool
+	// SendWithin is the time after the grant within which the call must be sent, because
+	// the target is limited to a rate of calls; 0 if it is not.
+	SendWithin time.Duration
 	// HedgeAfter is the delay after which the call may be hedged to a second
 	// target; 0 if no latency has been measured yet.
 	HedgeAfter time.Duration
@@ -98,6 +101,7 @@
 // Reasons for rejections, which are sent to callers.
 const (
 	ReasonNoTargets        = "no target of the service takes work"
+	ReasonWarmingUp        = "the targets of the service are warming up"
 	ReasonDeadline         = "the deadline can't be met"
 	ReasonLatencyObjective = "no target gets free within the objective"
 	ReasonQueueFull        = "the queue is full"
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -22,8 +22,8 @@
 // eligibleTargets returns the targets to which the call may be sent. The slice is
 // valid until the next call of this method.
 //
-// Targets that are leaving or in backoff are never eligible, and long kinds are limited to a share of the
-// targets. Targets that are delisted, ejected, suspected or already tried are left
+// Targets that are leaving or in backoff, or that are warming up and may not be sent a call
+// now, are never eligible, and long kinds are limited to a share of the targets. Targets that are delisted, ejected, suspected or already tried are left
 // out as well. If none remains, the conditions are relaxed, trying one alternative
 // after the other: first outside the kind's share, if the call has tried some
 // targets; then within the share, including tried, ejected and suspected targets;
@@ -34,7 +34,7 @@
 	}
 	s.filter(func(t *tarragonwell.TargetState) bool { return s.mayServe(now, t, p.Kind) && usable(t) })
 	if len(s.eligible) == 0 && len(p.Exclude) > 0 {
-		s.filter(func(t *tarragonwell.TargetState) bool { return accepts(now, t) && usable(t) })
+		s.filter(func(t *tarragonwell.TargetState) bool { return s.admits(now, t) && usable(t) })
 	}
 	if len(s.eligible) == 0 {
 		s.filter(func(t *tarragonwell.TargetState) bool { return s.mayServe(now, t, p.Kind) && !t.Delisted })
@@ -55,11 +55,17 @@
 	}
 }
 
-// mayServe reports whether a target may be sent calls of the kind at all: it accepts
+// admits reports whether a target may be sent a call now: it accepts calls and, if it is
+// warming up, there is a token for it.
+func (s *Scheduler) admits(now time.Time, t *tarragonwell.TargetState) bool {
+	return accepts(now, t) && s.warmUpAdmits(now, t)
+}
+
+// mayServe reports whether a target may be sent calls of the kind at all: it admits
 // calls, and is within the share of the targets to which a long kind is limited.
 // With only one target, the limit is a share of its slots.
 func (s *Scheduler) mayServe(now time.Time, t *tarragonwell.TargetState, k *tarragonwell.Kind) bool {
-	if !accepts(now, t) {
+	if !s.admits(now, t) {
 		return false
 	}
 	if !k.Long || k.SlotShare >= 1 {
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/warmup"
 )
 
 // Options configures a Scheduler.
@@ -34,6 +35,11 @@
 	// BudgetDivisor is the highest known number of instances, by which the budgets of
 	// the fleet are divided; 0 counts as 1.
 	BudgetDivisor int
+	// WarmUpOvershoot and WarmUpSlack bound the calls to a target that is warming up: in
+	// any second at most Service.WarmUpRate times WarmUpOvershoot plus WarmUpSlack, from
+	// all instances together. They are not bounded if both are 0.
+	WarmUpOvershoot float64
+	WarmUpSlack     float64
 }
 
 // Scheduler places the calls of one instance to one service.
@@ -72,6 +78,8 @@
 	lastJoinSequence uint64
 	// leavers are the targets that reported that they are leaving.
 	leavers leaverMemory
+	// warmUp limits the calls to targets that are warming up.
+	warmUp warmup.Limiter
 	// grantsSuspendedUntil is the time until which no call is granted a target;
 	// zero if grants are not suspended.
 	grantsSuspendedUntil time.Time
@@ -94,6 +102,7 @@
 	s.retries.Ratio = service.RetryRatio
 	s.retries.Slack = service.RetrySlack / float64(max(1, s.options.BudgetDivisor))
 	s.configurePlacementProbes()
+	s.configureWarmUp()
 }
 
 // Configure applies a changed rule, or changes of the budget divisor or of the number of
@@ -158,6 +167,9 @@
 
 // enqueue queues a call, or rejects it if it could not be served in time.
 func (s *Scheduler) enqueue(now time.Time, p *admission.PendingCall) Decision {
+	if s.onlyWarmUpLimited(now) {
+		return reject(p.ID, ReasonWarmingUp, s.warmUpRetryAfter(now))
+	}
 	if s.noneAccepts(now) || len(s.eligibleTargets(now, p)) == 0 && !s.trialPending(now) {
 		return reject(p.ID, ReasonNoTargets, s.noTargetsRetryAfter(now))
 	}
@@ -195,7 +207,8 @@
 
 // Poll rejects queued calls that can no longer meet their deadline or whose
 // queue timeout has passed, and grants targets to the others as far as there is
-// room. If no target accepts calls any more, it rejects all.
+// room. If no target accepts calls any more, it rejects all, and if all that do are warming
+// up, those for which there is no room now.
 func (s *Scheduler) Poll(now time.Time) []Decision {
 	if s.queue.Len() == 0 {
 		return nil
@@ -224,6 +237,11 @@
 		})
 		return true
 	})
+	if s.queue.Len() > 0 && s.onlyWarmUpLimited(now) {
+		for _, p := range s.queue.Remove(func(*admission.PendingCall) bool { return true }) {
+			decisions = append(decisions, s.withLoadSnapshot(p, reject(p.ID, ReasonWarmingUp, s.warmUpRetryAfter(now))))
+		}
+	}
 	return decisions
 }
 
@@ -274,6 +292,7 @@
 	}
 	trial := s.recordStart(now, targets[i], p.Kind)
 	return &Grant{
+		SendWithin:   s.takeWarmUpToken(now, targets[i]),
 		Trial:        trial,
 		Basis:        s.basis(now, targets[i], len(targets), p),
 		ID:           p.ID,
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -36,8 +36,9 @@
 		}
 		t.ListedLeaving = l.Leaving
 		t.Delisted = l.Delisted
-		t.WarmUpUntil = l.WarmUpUntil
+		applyListedWarmUp(t, l.WarmUpUntil)
 	}
+	s.warmUp.Retain(func(id string) bool { return s.find(id) != nil })
 	s.orderTargets()
 	s.configurePlacementProbes()
 	return joined, left
