--- a/internal/service/notice.go
+++ b/internal/service/notice.go
@@ -29,6 +29,14 @@
 	st.restrictTarget(r.ID)
 }
 
+// logWarmUpLimit logs if the limit on calls to targets that are warming up does not do what
+// the rule asks for.
+func (dr *Dispatcher) logWarmUpLimit(st *state) {
+	if err := st.scheduler.CheckWarmUp(); err != nil {
+		dr.options.Common.Log.Warn("warm-up-limit", "service", st.serviceRule.Name, "rate", st.serviceRule.WarmUpRate, "error", err)
+	}
+}
+
 // logWarmUps logs the targets that have begun or ended their warm-up since the last check,
 // in services that limit the calls to such targets.
 func (dr *Dispatcher) logWarmUps(st *state) {
--- a/internal/service/task.go
+++ b/internal/service/task.go
@@ -275,6 +275,7 @@
 		WarmUpSlack:          dr.options.Common.Settings.Budgets.WarmUpSlack,
 	})
 	st.scheduler.SetFleet(st.lastRun, dr.options.Fleet)
+	dr.logWarmUpLimit(st)
 	return st
 }
 
@@ -357,6 +358,7 @@
 }
 
 func (dr *Dispatcher) configure(st *state, m configureMessage) {
+	rateChanged := m.serviceRule.WarmUpRate != st.serviceRule.WarmUpRate
 	st.serviceRule = m.serviceRule
 	st.budgetDivisor = m.budgetDivisor
 	o := scheduling.Options{
@@ -374,6 +376,9 @@
 		st.policyName = m.serviceRule.Policy
 	}
 	st.scheduler.Configure(o)
+	if rateChanged {
+		dr.logWarmUpLimit(st)
+	}
 	st.configureProbeIntervals()
 	for _, h := range st.handles {
 		h.target.SetConnections(st.connections())
--- a/pkg/tarragonwell/scheduling/warm_up.go
+++ b/pkg/tarragonwell/scheduling/warm_up.go
@@ -9,11 +9,21 @@
 
 // configureWarmUp sets the limit on calls to targets that are warming up.
 func (s *Scheduler) configureWarmUp() {
-	s.warmUp.SetLimit(warmup.Limit{
+	s.warmUp.SetLimit(s.warmUpLimit())
+}
+
+func (s *Scheduler) warmUpLimit() warmup.Limit {
+	return warmup.Limit{
 		Rate:      s.options.ServiceRule.WarmUpRate,
 		Overshoot: s.options.WarmUpOvershoot,
 		Slack:     s.options.WarmUpSlack,
-	})
+	}
+}
+
+// CheckWarmUp returns an error if the limit on calls to targets that are warming up does
+// not do what the rule asks for; see warmup.Limit.Check.
+func (s *Scheduler) CheckWarmUp() error {
+	return s.warmUpLimit().Check()
 }
 
 // SetFleet replaces the view of the fleet, which determines whether this instance may send
--- a/pkg/tarragonwell/warmup/limit.go
+++ b/pkg/tarragonwell/warmup/limit.go
@@ -11,7 +11,18 @@
 // The package does no I/O, and its functions are passed the current time.
 package warmup
 
-import "time"
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrNoBound means that a rate has no effect, because there is no bound.
+	ErrNoBound = eris.New("warm-up rate without a bound: calls are not limited")
+	// ErrBoundTooLow means that the bound does not allow for any sender.
+	ErrBoundTooLow = eris.New("warm-up bound too low for a sender: targets get no calls while they are warming up")
+)
 
 const (
 	// intendedSenders is the number of senders of a target if all instances see the same
@@ -55,6 +66,18 @@
 	return l.Rate*max(0, l.Overshoot) + max(0, l.Slack)
 }
 
+// Check returns ErrNoBound or ErrBoundTooLow if the limit does not do what its rate asks
+// for.
+func (l Limit) Check() error {
+	if l.Rate > 0 && l.Bound() == 0 {
+		return ErrNoBound
+	}
+	if senders, _ := l.share(false); l.Enabled() && senders == 0 {
+		return ErrBoundTooLow
+	}
+	return nil
+}
+
 // share returns the number of senders of a target and the rate of each one's bucket, in
 // calls a second. Where the bound is too low for the intended number and headroom, there is
 // one sender, with less headroom if necessary, or none.
--- a/pkg/tarragonwell/warmup/limiter_test.go
+++ b/pkg/tarragonwell/warmup/limiter_test.go
@@ -144,8 +144,19 @@
 	if n, rate := testLimit.share(false); float64(senderHeadroom*n)*(bucketSize+rate*1.25) > testLimit.Bound()+1e-9 {
 		t.Errorf("got %d senders with %.2f calls a second each without the intended headroom", n, rate)
 	}
-	if n, rate := (Limit{Rate: 1, Overshoot: 1}).share(false); n != 0 || rate != 0 {
-		t.Errorf("bound below one call for each sender: got %d senders with %.2f calls a second", n, rate)
+	for _, tt := range []struct {
+		limit Limit
+		want  error
+	}{
+		{testLimit, nil},
+		{Limit{}, nil},
+		{Limit{Overshoot: 1.5, Slack: 8}, nil},
+		{Limit{Rate: 5}, ErrNoBound},
+		{Limit{Rate: 1, Overshoot: 1}, ErrBoundTooLow},
+	} {
+		if got := tt.limit.Check(); got != tt.want {
+			t.Errorf("%+v: got %v, want %v", tt.limit, got, tt.want)
+		}
 	}
 	for _, l := range []Limit{{}, {Rate: 5}, {Overshoot: 1.5, Slack: 8}} {
 		if l.Enabled() {
--- a/pkg/tarragonwell/warmup/simulation_test.go
+++ b/pkg/tarragonwell/warmup/simulation_test.go
@@ -223,6 +223,15 @@
 			},
 			wantRate: 1,
 		},
+		{
+			name:      "four parts, restarted during the partition",
+			instances: 160,
+			play: func(s *simulation) {
+				s.hears = func(i, j int) bool { return i%4 == j%4 }
+				s.run(15 * time.Second)
+			},
+			wantRate: 1,
+		},
 		{
 			name:      "groups of ten",
 			instances: 150,
