Keep a late probe response from ending a warm-up that the list has just stated

Cause: a response from before a target became cold again may arrive after the entry that says so.

Change: within a second of a change of the list a target's statement can only extend the warm-up. A rejected call looks up the state of each target once.

--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -36,7 +36,7 @@
 		}
 		t.ListedLeaving = l.Leaving
 		t.Delisted = l.Delisted
-		applyListedWarmUp(t, l.WarmUpUntil)
+		applyListedWarmUp(now, t, l.WarmUpUntil)
 	}
 	s.warmUp.Retain(func(id string) bool { return s.find(id) != nil })
 	s.orderTargets()
--- a/pkg/tarragonwell/scheduling/warm_up.go
+++ b/pkg/tarragonwell/scheduling/warm_up.go
@@ -38,6 +38,11 @@
 	s.warmUp.RecordPause(now)
 }
 
+// listedWarmUpHold is the time after a change of the list in which a target's statement
+// does not shorten its warm-up: the response may be from before the change. It is longer
+// than a probe may take.
+const listedWarmUpHold = time.Second
+
 // RecordWarmUp records for how long a target states that it is still warming up. born is
 // the Born of the target that the response came from.
 func (s *Scheduler) RecordWarmUp(now time.Time, id string, born uint64, remaining time.Duration) {
@@ -45,18 +50,23 @@
 	if t == nil || t.Born != born {
 		return
 	}
-	t.WarmUpUntil = now.Add(min(remaining, tarragonwell.MaxWarmUp))
+	until := now.Add(min(remaining, tarragonwell.MaxWarmUp))
+	if until.Before(t.WarmUpUntil) && now.Sub(t.ListedWarmUpAt) < listedWarmUpHold {
+		return
+	}
+	t.WarmUpUntil = until
 	t.WarmUpReported = true
 }
 
 // applyListedWarmUp applies the end of the warm-up on the platform's list if it has
 // changed. The list may lag behind what the target itself has stated, so it can only extend
 // that.
-func applyListedWarmUp(t *tarragonwell.TargetState, until time.Time) {
+func applyListedWarmUp(now time.Time, t *tarragonwell.TargetState, until time.Time) {
 	if until.Equal(t.ListedWarmUpUntil) {
 		return
 	}
 	t.ListedWarmUpUntil = until
+	t.ListedWarmUpAt = now
 	if !t.WarmUpReported || until.After(t.WarmUpUntil) {
 		t.WarmUpUntil = until
 		t.WarmUpReported = false
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -76,8 +76,9 @@
 	WarmUpUntil    time.Time
 	WarmUpReported bool
 	// ListedWarmUpUntil is the end of the target's warm-up according to the platform when
-	// its list was last applied.
+	// its list was last applied, and ListedWarmUpAt is when it changed.
 	ListedWarmUpUntil time.Time
+	ListedWarmUpAt    time.Time
 	// PlacementProbedAt is when the target last responded to a placement probe.
 	PlacementProbedAt time.Time
 	// LeavingReported is set once the target has told this instance that it is
--- a/pkg/tarragonwell/warmup/limiter.go
+++ b/pkg/tarragonwell/warmup/limiter.go
@@ -65,13 +65,26 @@
 // IsSender reports whether this instance may send calls to a target while it is warming
 // up.
 func (l *Limiter) IsSender(now time.Time, id, dataCenter string) bool {
-	senders, _ := l.limit.share(l.fleet.alone())
-	return l.fleet.settled(now) && l.bucket(now, id, dataCenter).rank < senders
+	return l.senderBucket(now, id, dataCenter) != nil
 }
 
 // Available reports whether a call may be sent to the target now.
 func (l *Limiter) Available(now time.Time, id, dataCenter string) bool {
-	return l.IsSender(now, id, dataCenter) && !now.Before(l.bucket(now, id, dataCenter).next)
+	b := l.senderBucket(now, id, dataCenter)
+	return b != nil && !now.Before(b.next)
+}
+
+// senderBucket returns the state of a target, or nil if this instance is not one of its
+// senders.
+func (l *Limiter) senderBucket(now time.Time, id, dataCenter string) *bucket {
+	if !l.fleet.settled(now) {
+		return nil
+	}
+	b := l.bucket(now, id, dataCenter)
+	if senders, _ := l.limit.share(l.fleet.alone()); b.rank >= senders {
+		return nil
+	}
+	return b
 }
 
 // Take takes the token for a call that is about to be sent to the target. It must be called
@@ -83,8 +96,8 @@
 // RetryAfter returns the time after which a call that was refused a token is more likely
 // to get one, for a target that warms up until the given time.
 func (l *Limiter) RetryAfter(now time.Time, id, dataCenter string, until time.Time) time.Duration {
-	if l.IsSender(now, id, dataCenter) {
-		return min(l.bucket(now, id, dataCenter).next.Sub(now), until.Sub(now))
+	if b := l.senderBucket(now, id, dataCenter); b != nil {
+		return min(b.next.Sub(now), until.Sub(now))
 	}
 	return min(retryAfterStart, until.Sub(now))
 }
