Let the senders of a target use their first token at once

Cause: a bucket started empty when its target became cold, which left a third of a warm-up of 3 s unused. Only a predecessor of the instance can have used the token, so it suffices that buckets are empty when the instance starts. The bucket of a target that leaves the list is kept until it is full, in case the target returns.

--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -38,7 +38,7 @@
 		t.Delisted = l.Delisted
 		applyListedWarmUp(now, t, l.WarmUpUntil)
 	}
-	s.warmUp.Retain(func(id string) bool { return s.find(id) != nil })
+	s.warmUp.Retain(now, func(id string) bool { return s.find(id) != nil })
 	s.orderTargets()
 	s.configurePlacementProbes()
 	return joined, left
--- a/pkg/tarragonwell/warmup/limiter.go
+++ b/pkg/tarragonwell/warmup/limiter.go
@@ -12,14 +12,16 @@
 type Limiter struct {
 	limit Limit
 	fleet fleet
+	// startedAt is when the first view was set.
+	startedAt time.Time
 	// buckets holds the state of the targets that are or were warming up, by ID.
 	buckets map[string]*bucket
 }
 
 // bucket is the state of one target.
 type bucket struct {
-	// next is when the next call may be sent. A bucket starts empty, since a predecessor
-	// of this instance at the same address may just have sent one.
+	// next is when the next call may be sent. Buckets are empty when the limiter starts,
+	// since a predecessor of this instance at the same address may just have sent a call.
 	next time.Time
 	// rank is the number of instances before this one in the target's rendezvous order.
 	rank int
@@ -44,6 +46,9 @@
 // SetFleet replaces the view of the fleet. A view counts as outdated after maxViewAge, so
 // it has to be set at least that often.
 func (l *Limiter) SetFleet(now time.Time, v tarragonwell.FleetView) {
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
 	l.fleet.set(now, v)
 }
 
@@ -53,10 +58,10 @@
 	l.fleet.restart(now)
 }
 
-// Retain forgets the targets for which keep returns false.
-func (l *Limiter) Retain(keep func(id string) bool) {
-	for id := range l.buckets {
-		if !keep(id) {
+// Retain forgets the targets for which keep returns false, once their buckets are full.
+func (l *Limiter) Retain(now time.Time, keep func(id string) bool) {
+	for id, b := range l.buckets {
+		if !keep(id) && !now.Before(b.next) {
 			delete(l.buckets, id)
 		}
 	}
@@ -77,20 +82,20 @@
 // senderBucket returns the state of a target, or nil if this instance is not one of its
 // senders.
 func (l *Limiter) senderBucket(now time.Time, id, dataCenter string) *bucket {
-	if !l.fleet.settled(now) {
+	senders, _ := l.limit.share(l.fleet.alone())
+	if senders == 0 || !l.fleet.settled(now) {
 		return nil
 	}
-	b := l.bucket(now, id, dataCenter)
-	if senders, _ := l.limit.share(l.fleet.alone()); b.rank >= senders {
-		return nil
+	if b := l.bucket(id, dataCenter); b.rank < senders {
+		return b
 	}
-	return b
+	return nil
 }
 
 // Take takes the token for a call that is about to be sent to the target. It must be called
 // only if Available has returned true.
 func (l *Limiter) Take(now time.Time, id, dataCenter string) {
-	l.bucket(now, id, dataCenter).next = now.Add(l.interval())
+	l.bucket(id, dataCenter).next = now.Add(l.interval())
 }
 
 // RetryAfter returns the time after which a call that was refused a token is more likely
@@ -116,14 +121,14 @@
 const maxInterval = time.Hour
 
 // bucket returns the state of a target with its current rank.
-func (l *Limiter) bucket(now time.Time, id, dataCenter string) *bucket {
+func (l *Limiter) bucket(id, dataCenter string) *bucket {
 	b := l.buckets[id]
 	if b == nil {
 		if l.buckets == nil {
 			l.buckets = map[string]*bucket{}
 		}
 		b = &bucket{
-			next: now.Add(l.interval()),
+			next: l.startedAt.Add(l.interval()),
 			rank: l.fleet.rank(id, dataCenter),
 		}
 		b.generation = l.fleet.generation
