Merge the rate limit for targets that are warming up

The bound comes on the command line (--set), where a deployment without it leaves the value empty; an empty value in the file stays an error, as before.

--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/listing"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/warmup"
 )
 
 const (
@@ -101,6 +102,10 @@
 	drains drainStatus
 	// updatedFrom is the source of the latest update.
 	updatedFrom string
+	// roster counts the instances that may be running.
+	roster warmup.Roster
+	// fleetSetAt is when the services were last given a view of the fleet.
+	fleetSetAt time.Time
 }
 
 // fetchKind is the kind of a fetch from a peer.
@@ -199,6 +204,7 @@
 				rc.reconcile(ctx, st, &wg)
 			}
 			rc.updateCounts(st)
+			rc.updateFleet(st)
 			rc.applyLeaving(st)
 		}
 	}
@@ -231,7 +237,7 @@
 			rc.resume(st)
 		}
 	case changesSinceMessage:
-		m.reply <- st.changesSince(m.revision, m.rules)
+		m.reply <- st.changesSince(rc.common.Clock.Now(), m.revision, m.rules)
 	case rulesHint:
 		rc.fetchRules(ctx, st, m)
 	case listHint:
@@ -267,9 +273,9 @@
 // changesSince returns the changes of the list after a revision, with the rules in force
 // if they are newer than the version. A refused file is left out: every instance refuses
 // it.
-func (st *reconcilerState) changesSince(revision uint64, rules tarragonwell.RulesVersion) tarragonwell.PlatformUpdate {
+func (st *reconcilerState) changesSince(now time.Time, revision uint64, rules tarragonwell.RulesVersion) tarragonwell.PlatformUpdate {
 	u := tarragonwell.PlatformUpdate{
-		List: st.list.ChangesSince(revision),
+		List: st.list.ChangesSince(now, revision),
 	}
 	if st.version().After(rules) {
 		u.Rules = &tarragonwell.PublishedRules{
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -92,6 +92,8 @@
 			Shed:         t.Shed,
 			Probes:       t.Probes,
 			Drained:      t.Drained,
+			WarmUpMs:     uint32(s.WarmUps[t.ID].Remaining.Milliseconds()),
+			WarmUpSender: s.WarmUps[t.ID].Sender,
 		})
 	}
 	return out
--- a/pkg/rulesfile/parse_test.go
+++ b/pkg/rulesfile/parse_test.go
@@ -88,6 +88,11 @@
 			line: "- {service: {name: t, organisation: o, slots: 1, connections: 1, retry-ratio: 1.5}}  # x",
 			want: "f:5: service.retry-ratio: must be between 0 and 1",
 		},
+		{
+			name: "warm-up rate without a value",
+			line: "- {service: {name: t, organisation: o, slots: 1, connections: 1, warm-up-rate: }}  # x",
+			want: "f:5: service.warm-up-rate: want a single value",
+		},
 		{
 			name: "repeatable missing",
 			line: "- {kind: {name: k, organisation: o}}  # x",
--- a/pkg/settingsfile/settings_test.go
+++ b/pkg/settingsfile/settings_test.go
@@ -105,6 +105,11 @@
 			content: validSettings + "limits: {memory-megabytes: 184, request-body-bytes: 100000000}\n",
 			want:    "f:7: limits: a body of request-body-bytes (100000000) does not fit into the memory",
 		},
+		{
+			name:    "negative warm-up bound",
+			content: validSettings + "budgets: {warm-up-overshoot: -1}\n",
+			want:    "f:7: budgets.warm-up-overshoot: must be a number of at least 0",
+		},
 		{
 			name:    "empty file",
 			content: "",
@@ -145,7 +150,7 @@
 // TestParseOverrides guards against an override that replaces more than its own setting, or
 // whose error is not reported.
 func TestParseOverrides(t *testing.T) {
-	s, err := Parse("f", []byte(validSettings), "platform.watch-wait=3s", "limits.operations=7", "log.level=")
+	s, err := Parse("f", []byte(validSettings), "platform.watch-wait=3s", "limits.operations=7", "budgets.warm-up-overshoot=1.5", "budgets.warm-up-slack=")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -158,7 +163,10 @@
 	if got, want := s.PlatformAddress, "127.0.0.1:4"; got != want {
 		t.Errorf("setting beside an override: got %v, want %v", got, want)
 	}
-	if got, want := s.LogLevel, "info"; got != want {
+	if got, want := s.Budgets.WarmUpOvershoot, 1.5; got != want {
+		t.Errorf("warm-up overshoot: got %v, want %v", got, want)
+	}
+	if got, want := s.Budgets.WarmUpSlack, 0.0; got != want {
 		t.Errorf("override without a value: got %v, want %v", got, want)
 	}
 	for override, want := range map[string]string{
--- a/pkg/tarragonwell/listing/drains_test.go
+++ b/pkg/tarragonwell/listing/drains_test.go
@@ -82,7 +82,7 @@
 			case "read":
 				c = h.read(to.Revision(), uint64(len(h)))
 			case "ask a peer":
-				c = lists[rapid.IntRange(0, len(lists)-1).Draw(t, "from")].ChangesSince(to.Revision())
+				c = lists[rapid.IntRange(0, len(lists)-1).Draw(t, "from")].ChangesSince(start, to.Revision())
 			case "repeat":
 				if len(sent) > 0 {
 					c = rapid.SampledFrom(sent).Draw(t, "change")
@@ -120,7 +120,7 @@
 			},
 		})
 	}
-	if got, want := l.ChangesSince(2).Since, uint64(0); got != want {
+	if got, want := l.ChangesSince(start, 2).Since, uint64(0); got != want {
 		t.Errorf("got the changes since %d, want the full list", got)
 	}
 }
@@ -132,7 +132,7 @@
 	marked := target("a", 1)
 	marked.Drained = true
 	apply(t, &l, start, fullList(1, marked))
-	if l.Targets()["s"][0].Drained || l.ChangesSince(0).Targets[0].Drained {
+	if l.Targets()["s"][0].Drained || l.ChangesSince(start, 0).Targets[0].Drained {
 		t.Error("the entry is marked as drained, want no mark")
 	}
 }
--- a/pkg/tarragonwell/scheduling/targets.go
+++ b/pkg/tarragonwell/scheduling/targets.go
@@ -37,8 +37,9 @@
 		s.setDrained(now, t, l.Drained)
 		t.ListedLeaving = l.Leaving
 		t.Delisted = l.Delisted
-		t.WarmUpUntil = now.Add(l.WarmUpRemaining)
+		applyListedWarmUp(now, t, l.WarmUpUntil)
 	}
+	s.warmUp.Retain(now, func(id string) bool { return s.find(id) != nil })
 	s.undrained = 0
 	for _, t := range s.targets {
 		if !t.Drained {
--- a/pkg/tarragonwell/target.go
+++ b/pkg/tarragonwell/target.go
@@ -75,8 +75,14 @@
 	// MinRamp is the minimum length of the slow start that begins at RampStart, whatever
 	// the rules say. It is above 0 only after a drain of the target's data centre.
 	MinRamp time.Duration
-	// WarmUpUntil is the end of the target's warm-up according to the platform.
-	WarmUpUntil time.Time
+	// WarmUpUntil is the end of the target's warm-up, according to the platform or, if
+	// WarmUpReported is set, to the target itself.
+	WarmUpUntil    time.Time
+	WarmUpReported bool
+	// ListedWarmUpUntil is the end of the target's warm-up according to the platform when
+	// its list was last applied, and ListedWarmUpAt is when it changed.
+	ListedWarmUpUntil time.Time
+	ListedWarmUpAt    time.Time
 	// PlacementProbedAt is when the target last responded to a placement probe.
 	PlacementProbedAt time.Time
 	// LeavingReported is set once the target has told this instance that it is
