Detect lost instances by probes and suspicions in the view

Cause: a heartbeat reached an instance in samples of 8 members, so the time between two of them grew with the fleet, and a peer counted as alive for 10 s after its last one: with 150 instances, live ones counted as lost 17,367 times in 20 s. Change: a peer is lost if probes of it have failed, directly and through others, and nobody heard of it while the suspicion spread. Each round, an instance probes one of its next three peers in the order of hashed incarnations. Records carry the age of their heartbeat, so that a suspicion and a sign of life can be compared. Only an instance without contact to any peer falls back to the age of heartbeats. internal/peer does not use this yet: without recorded contacts, views count peers as before.

--- a/pkg/tarragonwell/member.go
+++ b/pkg/tarragonwell/member.go
@@ -54,6 +54,17 @@
 	State   MemberState
 	// Heartbeat increases for as long as the incarnation runs.
 	Heartbeat uint64
+	// Age is the time since the instance itself sent the heartbeat. It is set in records
+	// that are passed on to peers.
+	Age time.Duration
+}
+
+// MemberSuspicion states that an incarnation did not respond to probes. A sign of life that
+// is more recent than the suspicion refutes it.
+type MemberSuspicion struct {
+	Incarnation Incarnation
+	// Age is the time since the first probe without a response.
+	Age time.Duration
 }
 
 // Holder records which instance took over the operations of an incarnation. A
--- a/pkg/tarragonwell/membership/announcements.go
+++ b/pkg/tarragonwell/membership/announcements.go
@@ -100,8 +100,8 @@
 	return out
 }
 
-// expireAnnouncements removes holders, draining notices and suspicions of targets at the
-// expiry of each.
+// expireAnnouncements removes holders, draining notices and suspicions of targets that have
+// expired.
 func (v *View) expireAnnouncements(now time.Time) {
 	for i, h := range v.holders {
 		if now.After(h.ExpiresAt) {
--- a/pkg/tarragonwell/membership/gossip_peers.go
+++ b/pkg/tarragonwell/membership/gossip_peers.go
@@ -19,25 +19,17 @@
 	gossipPeerEpoch = 30 * time.Second
 )
 
-// Sample draws up to n member records for a gossip message, the instance's own always
-// included. The bound keeps the size of messages independent of the size of the
-// fleet.
-func (v *View) Sample(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
-	recent := v.list(func(x *peerEntry) bool { return now.Sub(x.updated) < livenessTimeout })
-	r.Shuffle(len(recent), func(i, j int) {
-		recent[i], recent[j] = recent[j], recent[i]
-	})
-	out := []tarragonwell.Member{v.Self}
-	return append(out, recent[:min(len(recent), max(0, n-1))]...)
-}
-
-// SelectPeers draws up to n of the instance's gossip peers for a gossip round. It
-// adds one lost or stopped peer and one bootstrap address without a member record, if
-// there are any, because they may be reachable again. The latter have only a peer
-// address.
+// SelectPeers draws up to n peers for a gossip round. The first is the peer that the
+// instance probes in this round, the others, at least one, are gossip peers. It adds one
+// lost or stopped peer and one bootstrap address without a member record, if there are any,
+// because they may be reachable again. The latter have only a peer address.
 func (v *View) SelectPeers(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
-	peers := v.drawGossipPeers(now, n, r)
-	inactive := v.list(func(x *peerEntry) bool { return now.Sub(x.updated) >= livenessTimeout })
+	var peers []tarragonwell.Member
+	if m, ok := v.probeTarget(now); ok {
+		peers = append(peers, m)
+	}
+	peers = append(peers, v.drawGossipPeers(now, max(1, n-len(peers)), peers, r)...)
+	inactive := v.list(func(e *peerEntry) bool { return !v.isAlive(now, e) })
 	if len(inactive) > 0 {
 		peers = append(peers, inactive[r.IntN(len(inactive))])
 	}
@@ -54,10 +46,12 @@
 // only if there are too few local ones.
 const remoteDrawInterval = 4
 
-// drawGossipPeers draws up to n gossip peers, most of them in the local data centre,
-// because traffic between data centres is expensive.
-func (v *View) drawGossipPeers(now time.Time, n int, r *rand.Rand) []tarragonwell.Member {
-	peers := v.gossipPeers(now)
+// drawGossipPeers draws up to n gossip peers other than the excluded ones, most of them in
+// the local data centre, because traffic between data centres is expensive.
+func (v *View) drawGossipPeers(now time.Time, n int, exclude []tarragonwell.Member, r *rand.Rand) []tarragonwell.Member {
+	peers := slices.DeleteFunc(v.gossipPeers(now), func(m tarragonwell.Member) bool {
+		return slices.Contains(exclude, m)
+	})
 	r.Shuffle(len(peers), func(i, j int) {
 		peers[i], peers[j] = peers[j], peers[i]
 	})
@@ -75,25 +69,24 @@
 	return peers[:min(len(peers), n)]
 }
 
-// gossipPeers returns the gossip peers of the current epoch, in pseudo-random order. If
-// no peer is alive, they are drawn from all retained ones. Their fixed number keeps the
-// connections of an instance independent of the size of the fleet. The selection changes
-// with each epoch and differs between instances, so that updates reach the whole fleet
-// in few hops.
+// gossipPeers returns the gossip peers of the current epoch, in pseudo-random order. They are
+// drawn from the peers that are alive and not suspected or, if there are none, from all
+// retained ones. Their fixed number keeps the connections of an instance independent of the
+// size of the fleet. The selection changes with each epoch and differs between instances, so
+// that updates reach the whole fleet in few hops.
 func (v *View) gossipPeers(now time.Time) []tarragonwell.Member {
-	peers := v.Alive(now)
+	peers := v.entries(func(e *peerEntry) bool { return v.isTrusted(now, e) })
 	if len(peers) == 0 {
-		peers = v.All()
-	}
-	epoch := byte(now.Unix() / int64(gossipPeerEpoch/time.Second))
-	weight := func(m tarragonwell.Member) uint64 {
-		key := append(v.Self.Incarnation[:], m.Incarnation[:]...)
-		return xxhash.Sum64(append(key, epoch))
+		peers = v.ordered
 	}
-	slices.SortFunc(peers, func(a, b tarragonwell.Member) int {
-		return cmp.Compare(weight(a), weight(b))
-	})
-	return peers[:min(len(peers), gossipPeerCount)]
+	const size = len(tarragonwell.Incarnation{})
+	var key [2*size + 1]byte
+	copy(key[:], v.Self.Incarnation[:])
+	key[2*size] = byte(now.Unix() / int64(gossipPeerEpoch/time.Second))
+	return members(smallest(peers, gossipPeerCount, func(e *peerEntry) uint64 {
+		copy(key[size:], e.member.Incarnation[:])
+		return xxhash.Sum64(key[:])
+	}))
 }
 
 // unseenAddresses lists the bootstrap addresses without a member record, except the
