Probe peers, pass suspicions on and fetch all member records

Cause: the view can tell a lost peer from a live one in any size of fleet, but the gossip task neither probed peers nor recorded contacts. Change: a gossip round is one short probe and the remaining exchanges. A peer that does not respond is probed through the three peers heard of last (ProbeMember); if one of them responds without having reached it, it is suspected. Suspicions and the age of records travel in ExchangeRequest and ExchangeResponse; a relayed confirmation carries none. An instance fetches all member records (FetchMembers) after its start, isolation or a pause, and if a peer counts considerably more members. After a pause of the process, requests from before its end are no evidence, and suspicions that have not expired are dropped. Everything is sent within the limit of gossip rounds, except fetches, which are a second or more apart. Instances of the previous release ignore the new fields and are probed by plain exchanges. Metrics: tarragonwell_peer_suspicions_total, peer_losses_total, peer_indirect_probes_total, peer_member_fetches_total. Log: peer-suspected.

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -17,6 +17,7 @@
 		StartedUnixMs: m.Started.UnixMilli(),
 		State:         pb.MemberState(m.State),
 		Heartbeat:     m.Heartbeat,
+		AgeMs:         toMillis(m.Age),
 	}
 }
 
@@ -28,6 +29,33 @@
 		Started:     time.UnixMilli(m.GetStartedUnixMs()),
 		State:       tarragonwell.MemberState(m.GetState()),
 		Heartbeat:   m.GetHeartbeat(),
+		Age:         fromMillis(m.GetAgeMs()),
+	}
+}
+
+func membersToProto(members []tarragonwell.Member) []*pb.Member {
+	var out []*pb.Member
+	for _, m := range members {
+		out = append(out, MemberToProto(m))
+	}
+	return out
+}
+
+func suspicionsToProto(suspicions []tarragonwell.MemberSuspicion) []*pb.MemberSuspicion {
+	var out []*pb.MemberSuspicion
+	for _, s := range suspicions {
+		out = append(out, &pb.MemberSuspicion{
+			Incarnation: s.Incarnation[:],
+			AgeMs:       toMillis(s.Age),
+		})
+	}
+	return out
+}
+
+func suspicionFromProto(s *pb.MemberSuspicion) tarragonwell.MemberSuspicion {
+	return tarragonwell.MemberSuspicion{
+		Incarnation: incarnationFromProto(s.GetIncarnation()),
+		Age:         fromMillis(s.GetAgeMs()),
 	}
 }
 
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -8,25 +8,24 @@
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
-// newGossip returns the instance's current gossip. If brief is set, it has only the
-// instance's own record as members.
+// newGossip returns the instance's current gossip for a gossip round. If brief is set, it has
+// only the instance's own record as members and no suspicions of members.
 func (p *Peers) newGossip(now time.Time, st *state, brief bool) gossip {
 	g := gossip{
 		rules:        versionToProto(st.rules),
 		platformAge:  neverConfirmedAge,
 		listRevision: st.processed.List,
 		brief:        brief,
+		memberCount:  st.view.AliveCount(now) + 1,
 	}
 	if !st.freshness.latest.at.IsZero() {
 		g.platformAge = now.Sub(st.freshness.latest.at)
 	}
-	sample := p.options.Common.Settings.SampleSize
-	if brief {
-		sample = 1
-	}
-	for _, m := range st.view.Sample(now, sample, st.random) {
-		g.members = append(g.members, MemberToProto(m))
+	members, suspicions := []tarragonwell.Member{st.view.Self}, []tarragonwell.MemberSuspicion(nil)
+	if !brief {
+		members, suspicions = st.view.RoundGossip(now, p.options.Common.Settings.SampleSize, st.random)
 	}
+	g.members, g.suspicions = membersToProto(members), suspicionsToProto(suspicions)
 	for _, h := range st.view.Holders() {
 		if len(g.holders) < maxHolders {
 			g.holders = append(g.holders, holderToProto(h, now))
@@ -48,6 +47,15 @@
 	return g
 }
 
+// newProbe returns the instance's gossip for a probe: its own record and changes of membership
+// as members.
+func (p *Peers) newProbe(now time.Time, st *state) gossip {
+	g := p.newGossip(now, st, true)
+	members, suspicions := st.view.ProbeGossip(now, st.random)
+	g.probe, g.members, g.suspicions = true, membersToProto(members), suspicionsToProto(suspicions)
+	return g
+}
+
 // sampleLeaving returns the announcements of draining targets for one message: the latest
 // ones, and a random sample of the others for peers that missed them.
 func (p *Peers) sampleLeaving(now time.Time, st *state) []tarragonwell.LeavingTarget {
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -130,8 +130,16 @@
 				PeerAddress: "10.0.0.1:1",
 				Incarnation: []byte("short"),
 				State:       99,
+				AgeMs:       1<<32 - 1,
 			},
 		},
+		Suspicions: []*pb.MemberSuspicion{
+			{
+				Incarnation: []byte("short"),
+				AgeMs:       1<<32 - 1,
+			},
+		},
+		MemberCount: 1<<32 - 1,
 		Leaving: []*pb.LeavingTarget{
 			{
 				Service:     "s",
@@ -156,6 +164,8 @@
 		now := time.Unix(1_000_000, 0)
 		p.merge(now, st, "10.0.0.1:1", gossipFromProto(&m))
 		p.newGossip(now, st, false)
+		p.newProbe(now, st)
+		p.logLostPeers(st)
 		st.view.Expire(now)
 		p.publishSnapshot(st)
 	})
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -18,7 +18,7 @@
 }
 
 // gossip is the data that two instances exchange in a gossip round. Requests and
-// responses carry the same data, except for brief, relay and relayRoot, which only
+// responses carry the same data, except for brief, probe, relay and relayRoot, which only
 // requests carry.
 type gossip struct {
 	members  []*pb.Member
@@ -31,7 +31,13 @@
 	platformAge  time.Duration
 	listRevision uint64
 	// brief limits members to the sender's own record, also in the response.
-	brief bool
+	brief      bool
+	suspicions []*pb.MemberSuspicion
+	// memberCount is the number of members that count as alive for the sender, itself
+	// included; 0 for an instance of a release without FetchMembers.
+	memberCount int
+	// probe requests changes of membership in the response although brief is set.
+	probe bool
 	// relay requests that the receiver relays the platform's confirmation along the
 	// tree of relayRoot, or along a new tree if relayRoot is empty.
 	relay     bool
@@ -89,6 +95,32 @@
 	position tarragonwell.PlatformPosition
 }
 
+// probeResult delivers the result of probing a peer through others, after an exchange with
+// it failed.
+type probeResult struct {
+	target tarragonwell.Member
+	// startedAt is when the failed exchange began.
+	startedAt time.Time
+	// record is the target's record if one of the others has reached it.
+	record *pb.Member
+	// unreachable is set if others responded and none of them reached the target, or if
+	// there are no others.
+	unreachable bool
+}
+
+// membersMessage delivers all member records of a peer.
+type membersMessage struct {
+	// from is the peer address of the responder.
+	from string
+	// response is nil if the peer did not respond.
+	response *pb.FetchMembersResponse
+}
+
+// membersRequest asks for all member records.
+type membersRequest struct {
+	reply chan<- *pb.FetchMembersResponse
+}
+
 func (g gossip) request() *pb.ExchangeRequest {
 	return &pb.ExchangeRequest{
 		Members:       g.members,
@@ -101,6 +133,9 @@
 		Brief:         g.brief,
 		Relay:         g.relay,
 		RelayRoot:     g.relayRoot,
+		Suspicions:    g.suspicions,
+		MemberCount:   uint32(g.memberCount),
+		Probe:         g.probe,
 	}
 }
 
@@ -113,6 +148,8 @@
 		Suspects:      g.suspects,
 		PlatformAgeMs: toMillis(g.platformAge),
 		ListRevision:  g.listRevision,
+		Suspicions:    g.suspicions,
+		MemberCount:   uint32(g.memberCount),
 	}
 }
 
@@ -125,6 +162,8 @@
 	GetSuspects() []*pb.SuspectTarget
 	GetPlatformAgeMs() uint32
 	GetListRevision() uint64
+	GetSuspicions() []*pb.MemberSuspicion
+	GetMemberCount() uint32
 }
 
 // gossipFromProto returns the part of gossip that requests and responses share.
@@ -137,5 +176,7 @@
 		suspects:     m.GetSuspects(),
 		platformAge:  fromMillis(m.GetPlatformAgeMs()),
 		listRevision: m.GetListRevision(),
+		suspicions:   m.GetSuspicions(),
+		memberCount:  int(m.GetMemberCount()),
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -71,6 +71,7 @@
 	}
 	received := gossipFromProto(r.Msg)
 	received.brief = r.Msg.GetBrief()
+	received.probe = r.Msg.GetProbe()
 	received.relay = r.Msg.GetRelay()
 	received.relayRoot = r.Msg.GetRelayRoot()
 	response, err := task.Ask(ctx, s.Peers.mailbox, func(reply chan<- gossip) any {
@@ -163,6 +164,37 @@
 	return connect.NewResponse(&pb.HandOverResponse{}), nil
 }
 
+// ProbeMember exchanges gossip with another instance on behalf of a peer, within the traffic
+// limit of rounds.
+func (s *Server) ProbeMember(ctx context.Context, r *connect.Request[pb.ProbeMemberRequest]) (*connect.Response[pb.ProbeMemberResponse], error) {
+	if !s.Peers.IsMember(r.Msg.GetPeerAddress()) {
+		return nil, connect.NewError(connect.CodeNotFound, errUnknownMember)
+	}
+	member, err := s.Peers.probeFor(ctx, r.Msg.GetPeerAddress(), incarnationFromProto(r.Msg.GetIncarnation()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&pb.ProbeMemberResponse{
+		Member: member,
+	}), nil
+}
+
+// errUnknownMember means that no member with a peer address is known.
+var errUnknownMember = eris.New("no such member is known")
+
+// FetchMembers responds with all member records.
+func (s *Server) FetchMembers(ctx context.Context, _ *connect.Request[pb.FetchMembersRequest]) (*connect.Response[pb.FetchMembersResponse], error) {
+	response, err := task.Ask(ctx, s.Peers.mailbox, func(reply chan<- *pb.FetchMembersResponse) any {
+		return membersRequest{
+			reply: reply,
+		}
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
 // errTicketsDisabled means that tickets are not enabled on this instance.
 var errTicketsDisabled = eris.New("no operations are held here")
 
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -82,6 +82,12 @@
 	// countSkipped counts the sends of any kind that a limiter cut short: gossip rounds,
 	// relayed confirmations and suspicions.
 	countSkipped func()
+	// The following count suspicions raised by this instance, peers that it lost, probes
+	// through others and fetches of all member records.
+	countSuspicion     func()
+	countLoss          func()
+	countIndirectProbe func()
+	countMemberFetch   func()
 }
 
 // state is the state of the task, which no other goroutine accesses.
@@ -98,6 +104,8 @@
 	// from the platform's list. View.BootstrapAddresses contains both.
 	settingsSeeds   []string
 	listedAddresses []string
+	pause           pauseDetector
+	fetch           memberFetch
 }
 
 // New returns Peers that are not running yet.
@@ -111,6 +119,10 @@
 		suspectLimiter: rate.NewLimiter(suspectBytesPerSecond, burstBytes),
 	}
 	p.countSkipped = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_rounds_skipped_total").Inc
+	p.countSuspicion = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_suspicions_total").Inc
+	p.countLoss = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_losses_total").Inc
+	p.countIndirectProbe = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_indirect_probes_total").Inc
+	p.countMemberFetch = o.Common.Metrics.GetOrCreateCounter("tarragonwell_peer_member_fetches_total").Inc
 	p.snapshot.Store(&Snapshot{})
 	return p
 }
@@ -202,6 +214,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-p.mailbox.Receive():
+			p.detectPause(st)
 			if p.handle(st, m) {
 				p.runRound(ctx, st, pushFanOut, &exchanges)
 			}
@@ -209,7 +222,9 @@
 			if _, ok := m.(suspectAnnouncement); ok {
 				p.sendSuspects(ctx, st, &exchanges)
 			}
+			p.fetchMembers(ctx, st, &exchanges)
 		case <-timer.C:
+			p.detectPause(st)
 			st.view.Self.Heartbeat++
 			p.logLostPeers(st)
 			st.view.Expire(p.options.Common.Clock.Now())
@@ -217,6 +232,7 @@
 			timer.Reset(interval*3/4 + rand.N(interval/2))
 		}
 		p.publishSnapshot(st)
+		st.pause.observe(p.options.Common.Clock)
 	}
 }
 
@@ -235,6 +251,8 @@
 		Heartbeat:   1,
 	}
 	st.view.SearchStarted = c.Clock.Now()
+	st.view.GossipInterval = c.Settings.GossipInterval
+	st.pause.observe(c.Clock)
 	st.settingsSeeds = c.Settings.Seeds
 	st.view.BootstrapAddresses = st.settingsSeeds
 	return st
@@ -251,9 +269,16 @@
 			push = p.merge(now, st, m.from, m.gossip)
 		})
 		if m.reply != nil {
-			m.reply <- p.newGossip(now, st, m.gossip.brief)
+			m.reply <- p.newResponse(now, st, m.gossip)
 		}
 		return push
+	case probeResult:
+		// A message that can't be merged must not end the task.
+		_ = p.options.Common.Isolate("merge probe result", func() { p.applyProbe(now, st, m) })
+	case membersMessage:
+		_ = p.options.Common.Isolate("merge members", func() { p.mergeMembers(now, st, m) })
+	case membersRequest:
+		m.reply <- membersResponse(now, st)
 	case stateMessage:
 		st.view.Self.State = m.state
 		st.view.Self.Heartbeat++
@@ -297,11 +322,15 @@
 func (p *Peers) merge(now time.Time, st *state, from string, g gossip) bool {
 	push := false
 	for _, m := range g.members {
-		member := memberFromProto(m)
-		if st.view.Merge(now, member) {
-			p.auditMemberChange(member, from)
-		}
+		p.mergeMember(now, st, m, from)
+	}
+	if len(g.members) > 0 {
+		p.recordContact(now, st, memberFromProto(g.members[0]))
 	}
+	for _, s := range g.suspicions {
+		st.view.MergeSuspicion(now, suspicionFromProto(s))
+	}
+	considerFetch(now, st, from, g)
 	for _, h := range g.holders {
 		push = st.view.MergeHolder(holderFromProto(h, now)) || push
 	}
@@ -337,10 +366,16 @@
 // confirmation by the platform.
 const neverConfirmedAge = 24 * time.Hour
 
-// runRound gossips with a few peers, within the traffic limit of rounds.
+// runRound gossips with a few peers, within the traffic limit of rounds. The first of them is
+// probed, which takes a short message.
 func (p *Peers) runRound(ctx context.Context, st *state, fanOut int, exchanges *sync.WaitGroup) {
 	now := p.options.Common.Clock.Now()
-	p.send(ctx, st.view.SelectPeers(now, fanOut, st.random), p.newGossip(now, st, false), p.roundLimiter, exchanges)
+	peers := st.view.SelectPeers(now, fanOut, st.random)
+	if len(peers) > 0 && st.view.IsTrusted(now, peers[0]) {
+		p.sendRound(ctx, st, peers[:1], p.newProbe(now, st), exchanges)
+		peers = peers[1:]
+	}
+	p.sendRound(ctx, st, peers, p.newGossip(now, st, false), exchanges)
 }
 
 // sendSuspects sends the suspected targets to a few peers, within their own limit.
@@ -353,10 +388,8 @@
 // limit is reached.
 func (p *Peers) send(ctx context.Context, peers []tarragonwell.Member, g gossip, limiter *rate.Limiter, exchanges *sync.WaitGroup) {
 	request := g.request()
-	size := 2 * (proto.Size(request) + messageOverheadBytes)
 	for _, m := range peers {
-		if !limiter.AllowN(p.options.Common.Clock.Now(), size) {
-			p.countSkipped()
+		if !p.allow(limiter, exchangeBytes(request)) {
 			return
 		}
 		exchanges.Go(func() {
@@ -365,6 +398,20 @@
 	}
 }
 
+// exchangeBytes returns the estimated size of an exchange in both directions.
+func exchangeBytes(request proto.Message) int {
+	return 2 * (proto.Size(request) + messageOverheadBytes)
+}
+
+// allow reports whether a traffic limit permits the bytes, and counts what it does not permit.
+func (p *Peers) allow(limiter *rate.Limiter, bytes int) bool {
+	if limiter.AllowN(p.options.Common.Clock.Now(), bytes) {
+		return true
+	}
+	p.countSkipped()
+	return false
+}
+
 // exchangeAndMerge sends gossip to a peer and posts the response to the task for
 // merging. It returns nil if the peer does not respond.
 func (p *Peers) exchangeAndMerge(ctx context.Context, address string, request *pb.ExchangeRequest) *pb.ExchangeResponse {
--- a/pkg/api/tarragonwell/v1/tarragonwellv1connect/peer.connect.go
+++ b/pkg/api/tarragonwell/v1/tarragonwellv1connect/peer.connect.go
@@ -43,6 +43,11 @@
 	PeerServiceOperateProcedure = "/tarragonwell.v1.PeerService/Operate"
 	// PeerServiceHandOverProcedure is the fully-qualified name of the PeerService's HandOver RPC.
 	PeerServiceHandOverProcedure = "/tarragonwell.v1.PeerService/HandOver"
+	// PeerServiceProbeMemberProcedure is the fully-qualified name of the PeerService's ProbeMember RPC.
+	PeerServiceProbeMemberProcedure = "/tarragonwell.v1.PeerService/ProbeMember"
+	// PeerServiceFetchMembersProcedure is the fully-qualified name of the PeerService's FetchMembers
+	// RPC.
+	PeerServiceFetchMembersProcedure = "/tarragonwell.v1.PeerService/FetchMembers"
 )
 
 // PeerServiceClient is a client for the tarragonwell.v1.PeerService service.
@@ -52,6 +57,8 @@
 	FetchList(context.Context, *connect.Request[v1.FetchListRequest]) (*connect.Response[v1.FetchListResponse], error)
 	Operate(context.Context, *connect.Request[v1.OperateRequest]) (*connect.Response[v1.OperateResponse], error)
 	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	ProbeMember(context.Context, *connect.Request[v1.ProbeMemberRequest]) (*connect.Response[v1.ProbeMemberResponse], error)
+	FetchMembers(context.Context, *connect.Request[v1.FetchMembersRequest]) (*connect.Response[v1.FetchMembersResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the tarragonwell.v1.PeerService service. By default,
@@ -95,16 +102,30 @@
 			connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 			connect.WithClientOptions(opts...),
 		),
+		probeMember: connect.NewClient[v1.ProbeMemberRequest, v1.ProbeMemberResponse](
+			httpClient,
+			baseURL+PeerServiceProbeMemberProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ProbeMember")),
+			connect.WithClientOptions(opts...),
+		),
+		fetchMembers: connect.NewClient[v1.FetchMembersRequest, v1.FetchMembersResponse](
+			httpClient,
+			baseURL+PeerServiceFetchMembersProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FetchMembers")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange   *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	fetchRules *connect.Client[v1.FetchRulesRequest, v1.FetchRulesResponse]
-	fetchList  *connect.Client[v1.FetchListRequest, v1.FetchListResponse]
-	operate    *connect.Client[v1.OperateRequest, v1.OperateResponse]
-	handOver   *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
+	exchange     *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	fetchRules   *connect.Client[v1.FetchRulesRequest, v1.FetchRulesResponse]
+	fetchList    *connect.Client[v1.FetchListRequest, v1.FetchListResponse]
+	operate      *connect.Client[v1.OperateRequest, v1.OperateResponse]
+	handOver     *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
+	probeMember  *connect.Client[v1.ProbeMemberRequest, v1.ProbeMemberResponse]
+	fetchMembers *connect.Client[v1.FetchMembersRequest, v1.FetchMembersResponse]
 }
 
 // Exchange calls tarragonwell.v1.PeerService.Exchange.
@@ -132,6 +153,16 @@
 	return c.handOver.CallUnary(ctx, req)
 }
 
+// ProbeMember calls tarragonwell.v1.PeerService.ProbeMember.
+func (c *peerServiceClient) ProbeMember(ctx context.Context, req *connect.Request[v1.ProbeMemberRequest]) (*connect.Response[v1.ProbeMemberResponse], error) {
+	return c.probeMember.CallUnary(ctx, req)
+}
+
+// FetchMembers calls tarragonwell.v1.PeerService.FetchMembers.
+func (c *peerServiceClient) FetchMembers(ctx context.Context, req *connect.Request[v1.FetchMembersRequest]) (*connect.Response[v1.FetchMembersResponse], error) {
+	return c.fetchMembers.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the tarragonwell.v1.PeerService service.
 type PeerServiceHandler interface {
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
@@ -139,6 +170,8 @@
 	FetchList(context.Context, *connect.Request[v1.FetchListRequest]) (*connect.Response[v1.FetchListResponse], error)
 	Operate(context.Context, *connect.Request[v1.OperateRequest]) (*connect.Response[v1.OperateResponse], error)
 	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	ProbeMember(context.Context, *connect.Request[v1.ProbeMemberRequest]) (*connect.Response[v1.ProbeMemberResponse], error)
+	FetchMembers(context.Context, *connect.Request[v1.FetchMembersRequest]) (*connect.Response[v1.FetchMembersResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -178,6 +211,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceProbeMemberHandler := connect.NewUnaryHandler(
+		PeerServiceProbeMemberProcedure,
+		svc.ProbeMember,
+		connect.WithSchema(peerServiceMethods.ByName("ProbeMember")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceFetchMembersHandler := connect.NewUnaryHandler(
+		PeerServiceFetchMembersProcedure,
+		svc.FetchMembers,
+		connect.WithSchema(peerServiceMethods.ByName("FetchMembers")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/tarragonwell.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -190,6 +235,10 @@
 			peerServiceOperateHandler.ServeHTTP(w, r)
 		case PeerServiceHandOverProcedure:
 			peerServiceHandOverHandler.ServeHTTP(w, r)
+		case PeerServiceProbeMemberProcedure:
+			peerServiceProbeMemberHandler.ServeHTTP(w, r)
+		case PeerServiceFetchMembersProcedure:
+			peerServiceFetchMembersHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -218,3 +267,11 @@
 func (UnimplementedPeerServiceHandler) HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonwell.v1.PeerService.HandOver is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ProbeMember(context.Context, *connect.Request[v1.ProbeMemberRequest]) (*connect.Response[v1.ProbeMemberResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonwell.v1.PeerService.ProbeMember is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) FetchMembers(context.Context, *connect.Request[v1.FetchMembersRequest]) (*connect.Response[v1.FetchMembersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonwell.v1.PeerService.FetchMembers is not implemented"))
+}
