Send refutations before the records of new peers

Cause: while hundreds of instances start at once, the records of new peers wait to be sent, and a sign of life that refutes a suspicion waited among them: its time ran out first. Change: a refutation is sent in twice as many messages as another change, and changes that were sent least often come first. The log line on a pause of the gossip task is paused, like that of a service.

--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -49,7 +49,7 @@
 	}
 	st.view.Resume(now, max(0, paused-now.Sub(st.pause.at)))
 	st.pause.resumedAt = now
-	c.Log.Info("failure detection resumed after a pause", "for", paused.String())
+	c.Log.Warn("paused", "task", "peers", "for", paused)
 }
 
 // newResponse returns the response to gossip.
--- a/pkg/tarragonwell/membership/changes.go
+++ b/pkg/tarragonwell/membership/changes.go
@@ -40,6 +40,14 @@
 	return sendsPerDoubling * bits.Len(uint(len(v.ordered)+1))
 }
 
+// refutationSends returns the number of messages in which the instance sends a sign of life
+// that refutes a suspicion. It is larger than changeSends so that refutations precede the
+// records of new peers: in a fleet that starts, hundreds of these wait to be sent, and the
+// time to refute is short.
+func (v *View) refutationSends() int {
+	return 2 * v.changeSends()
+}
+
 // Sample draws up to n member records for a gossip message: the instance's own, changes of
 // membership that were not sent often enough, and a random sample of the peers heard of
 // lately. The bound keeps the size of messages independent of the size of the fleet.
--- a/pkg/tarragonwell/membership/liveness.go
+++ b/pkg/tarragonwell/membership/liveness.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	if e.hear(now) {
-		e.sendsLeft = v.changeSends()
+		e.sendsLeft = v.refutationSends()
 	}
 	returned := e.reported && e.member.State != tarragonwell.MemberGone
 	e.reported = false
@@ -142,7 +142,7 @@
 // half of the refutation time, since sources of a refutation may not have been heard yet.
 func (v *View) suspect(now time.Time, e *peerEntry, at time.Time) bool {
 	if !at.After(e.heard) || e.member.State == tarragonwell.MemberGone {
-		e.sendsLeft = max(e.sendsLeft, v.changeSends())
+		e.sendsLeft = max(e.sendsLeft, v.refutationSends())
 		return false
 	}
 	isNew := e.suspectedAt.IsZero()
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -108,7 +108,10 @@
 		e.reported = false
 		changed = true
 	}
-	if changed || refuted {
+	switch {
+	case refuted:
+		e.sendsLeft = v.refutationSends()
+	case changed:
 		e.sendsLeft = v.changeSends()
 	}
 	return changed
