--- a/internal/caller/guard_test.go
+++ b/internal/caller/guard_test.go
@@ -73,7 +73,7 @@
 	s := newTestServer(t, nil)
 	s.options.HTTP2 = true
 	s.guard = s.newGuard()
-	s.options.Common.HeadBytes.Limit = 100 * 1024
+	s.options.Common.HeadBytes.SetLimit(100 * 1024)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -17,6 +17,7 @@
 		StartedUnixMs: m.Started.UnixMilli(),
 		State:         pb.MemberState(m.State),
 		Heartbeat:     m.Heartbeat,
+		AgeMs:         toMillis(m.Age),
 	}
 }
 
@@ -28,6 +29,33 @@
 		Started:     time.UnixMilli(m.GetStartedUnixMs()),
 		State:       tarragonwell.MemberState(m.GetState()),
 		Heartbeat:   m.GetHeartbeat(),
+		Age:         fromMillis(m.GetAgeMs()),
+	}
+}
+
+func membersToProto(members []tarragonwell.Member) []*pb.Member {
+	var out []*pb.Member
+	for _, m := range members {
+		out = append(out, MemberToProto(m))
+	}
+	return out
+}
+
+func suspicionsToProto(suspicions []tarragonwell.MemberSuspicion) []*pb.MemberSuspicion {
+	var out []*pb.MemberSuspicion
+	for _, s := range suspicions {
+		out = append(out, &pb.MemberSuspicion{
+			Incarnation: s.Incarnation[:],
+			AgeMs:       toMillis(s.Age),
+		})
+	}
+	return out
+}
+
+func suspicionFromProto(s *pb.MemberSuspicion) tarragonwell.MemberSuspicion {
+	return tarragonwell.MemberSuspicion{
+		Incarnation: incarnationFromProto(s.GetIncarnation()),
+		Age:         fromMillis(s.GetAgeMs()),
 	}
 }
 
@@ -128,7 +156,7 @@
 		Method:         o.Method,
 		Path:           o.RequestURI,
 		Header:         headerToProto(o.Header),
-		Body:           o.Body,
+		Body:           o.Body.Bytes(),
 		DeadlineUnixMs: o.Deadline.UnixMilli(),
 		RetriesLeft:    uint32(o.RetriesLeft),
 		Verb:           pb.OperationVerb(o.Verb + 1),
@@ -152,7 +180,7 @@
 		Method:      m.GetMethod(),
 		RequestURI:  m.GetPath(),
 		Header:      headerFromProto(m.GetHeader()),
-		Body:        m.GetBody(),
+		Body:        tarragonwell.NewBody(m.GetBody()),
 		Deadline:    time.UnixMilli(m.GetDeadlineUnixMs()),
 		RetriesLeft: int(m.GetRetriesLeft()),
 	}, nil
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -58,10 +58,35 @@
 // Handler returns the server's HTTP handler.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(tarragonwellv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes)))
+	path, service := tarragonwellv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
+	mux.Handle(path, service)
+	mux.Handle(tarragonwellv1connect.PeerServiceOperateProcedure, s.accounted(service))
 	return mux
 }
 
+// operationCopies is the number of copies of an operation's body while it runs: the message
+// and the decoded body.
+const operationCopies = 2
+
+// accounted returns a handler that reserves memory for a message before it is read. Only
+// operations carry bodies of callers; gossip must not fail for lack of memory. The peer
+// reports the outcome of an operation that is rejected here as unknown.
+func (s *Server) accounted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := r.ContentLength
+		if size < 0 || size > maxMessageBytes {
+			size = maxMessageBytes
+		}
+		budget := &s.Peers.options.Common.RequestBytes
+		if !budget.Reserve(operationCopies * size) {
+			http.Error(w, "no memory for the operation", http.StatusServiceUnavailable)
+			return
+		}
+		defer budget.Release(operationCopies * size)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Exchange merges a peer's gossip and responds with the instance's own.
 func (s *Server) Exchange(ctx context.Context, r *connect.Request[pb.ExchangeRequest]) (*connect.Response[pb.ExchangeResponse], error) {
 	// The sender's own record comes first.
@@ -71,6 +96,7 @@
 	}
 	received := gossipFromProto(r.Msg)
 	received.brief = r.Msg.GetBrief()
+	received.probe = r.Msg.GetProbe()
 	received.relay = r.Msg.GetRelay()
 	received.relayRoot = r.Msg.GetRelayRoot()
 	response, err := task.Ask(ctx, s.Peers.mailbox, func(reply chan<- gossip) any {
@@ -164,6 +190,37 @@
 	return connect.NewResponse(&pb.HandOverResponse{}), nil
 }
 
+// ProbeMember exchanges gossip with another instance on behalf of a peer, within the traffic
+// limit of rounds.
+func (s *Server) ProbeMember(ctx context.Context, r *connect.Request[pb.ProbeMemberRequest]) (*connect.Response[pb.ProbeMemberResponse], error) {
+	if !s.Peers.IsMember(r.Msg.GetPeerAddress()) {
+		return nil, connect.NewError(connect.CodeNotFound, errUnknownMember)
+	}
+	member, err := s.Peers.probeFor(ctx, r.Msg.GetPeerAddress(), incarnationFromProto(r.Msg.GetIncarnation()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&pb.ProbeMemberResponse{
+		Member: member,
+	}), nil
+}
+
+// errUnknownMember means that no member with a peer address is known.
+var errUnknownMember = eris.New("no such member is known")
+
+// FetchMembers responds with all member records.
+func (s *Server) FetchMembers(ctx context.Context, _ *connect.Request[pb.FetchMembersRequest]) (*connect.Response[pb.FetchMembersResponse], error) {
+	response, err := task.Ask(ctx, s.Peers.mailbox, func(reply chan<- *pb.FetchMembersResponse) any {
+		return membersRequest{
+			reply: reply,
+		}
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(response), nil
+}
+
 // errTicketsDisabled means that tickets are not enabled on this instance.
 var errTicketsDisabled = eris.New("no operations are held here")
 
--- a/internal/target/send_test.go
+++ b/internal/target/send_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -87,7 +88,7 @@
 			"Idempotency-Key":   {"k"},
 			"X-Idempotency-Key": {"k"},
 		},
-		Body:     []byte(body),
+		Body:     tarragonwell.NewBody([]byte(body)),
 		Deadline: time.Now().Add(5 * time.Second),
 		Route: &tarragonwell.Route{
 			Kind: &tarragonwell.Kind{
@@ -343,3 +344,54 @@
 		t.Errorf("continued: got %v, want no error", err)
 	}
 }
+
+// blockRecorder counts the writes of a block from where it is held.
+type blockRecorder struct {
+	net.Conn
+	block []byte
+	found atomic.Int64
+}
+
+func (r *blockRecorder) Write(p []byte) (int, error) {
+	if &p[0] == &r.block[0] {
+		r.found.Add(1)
+	}
+	return r.Conn.Write(p)
+}
+
+// TestBodyIsWrittenFromItsBlocks guards against a copy of the body between the buffer into
+// which it was read and the connection, and against a body that stays held after the
+// transport has sent it.
+func TestBodyIsWrittenFromItsBlocks(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	defer server.Close()
+	recorder := &blockRecorder{
+		block: make([]byte, 8192),
+	}
+	released := make(chan struct{})
+	body := &tarragonwell.Body{
+		// The first block shares a write with the header.
+		Blocks:  [][]byte{make([]byte, 8192), recorder.block},
+		Size:    2 * 8192,
+		Release: func() { close(released) },
+	}
+	target := newClient(t, server.Listener.Addr().String())
+	target.repeatable.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+		recorder.Conn, err = (&net.Dialer{}).DialContext(ctx, network, address)
+		return &trackedConn{
+			Conn: recorder,
+		}, err
+	}
+	c := newCall(http.MethodPost, "", true)
+	c.Body = body
+	if err := sendAndRead(target, c); err != nil {
+		t.Fatal(err)
+	}
+	body.Close()
+	<-released
+	if got, want := recorder.found.Load(), int64(1); got != want {
+		t.Errorf("writes of the second block in place: got %d, want %d", got, want)
+	}
+}
--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/yamldoc"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
 
 // Settings holds a validated settings file with defaults applied.
@@ -81,6 +82,8 @@
 	MaxTotalHeadBytes int64
 	// MaxConnectionBytes bounds the memory for the open connections of callers.
 	MaxConnectionBytes int64
+	// MemoryBytes is the memory of the machine for this process; 0 for no bound.
+	MemoryBytes int64
 	// MaxTickets bounds the outstanding tickets of operations, used or not.
 	MaxTickets int
 	// MaxOperationBytes bounds the total size of the retained responses to operations.
@@ -92,8 +95,8 @@
 	Budgets  Budgets
 }
 
-// Budgets holds the budgets of the fleet. They apply only with PlatformPrepared, whose
-// rules contain none.
+// Budgets holds the budgets of the fleet. Unless stated otherwise they apply only with
+// PlatformPrepared, whose rules contain none.
 type Budgets struct {
 	// RetryRatio is the maximum ratio of retries to first attempts, from 0 to 1.
 	RetryRatio float64
@@ -108,6 +111,11 @@
 	// InstancesAtMost is the expected maximum number of instances, by which the
 	// budgets are divided. It does not limit the size of the fleet.
 	InstancesAtMost int
+	// WarmUpOvershoot and WarmUpSlack bound the calls to a target that is warming up, also
+	// with PlatformOwn: in any second at most Service.WarmUpRate times WarmUpOvershoot
+	// plus WarmUpSlack, from all instances together. They are not bounded if both are 0.
+	WarmUpOvershoot float64
+	WarmUpSlack     float64
 }
 
 // Values of Settings.PlatformProtocol.
@@ -149,6 +157,9 @@
 	// minDescriptors leaves callers half of the descriptors beside those that are reserved
 	// for targets, peers and files.
 	minDescriptors = 128
+	// megabyte is the smaller of the usual meanings, so that a bound is never exceeded.
+	megabyte  = 1_000_000
+	maxMemory = 1 << 50
 )
 
 // ErrInvalid is joined with the errors of an invalid file, each of which is a
@@ -247,6 +258,7 @@
 		MaxDescriptors:         int(m.GetLimits().GetDescriptors()),
 		MaxTotalHeadBytes:      orDefault(int64(m.GetLimits().GetHeldHeadBytes()), defaultMaxTotalHeadBytes),
 		MaxConnectionBytes:     orDefault(int64(m.GetLimits().GetHeldConnectionBytes()), defaultMaxConnectionBytes),
+		MemoryBytes:            memoryBytes(m.GetLimits(), c),
 		MaxTickets:             orDefault(int(m.GetLimits().GetOperations()), defaultMaxTickets),
 		MaxOperationBytes:      orDefault(int(m.GetLimits().GetOperationBytes()), defaultMaxOperationBytes),
 		AuditRecords:           orDefault(int(m.GetLimits().GetAuditRecords()), defaultAuditRecords),
@@ -261,12 +273,41 @@
 			ProbeBudget:     m.GetBudgets().GetProbes(),
 			PlacementProbes: int(m.GetBudgets().GetSurvey()),
 			InstancesAtMost: orDefault(int(m.GetBudgets().GetInstancesAtMost()), defaultInstancesAtMost),
+			WarmUpOvershoot: m.GetBudgets().GetWarmUpOvershoot(),
+			WarmUpSlack:     m.GetBudgets().GetWarmUpSlack(),
 		},
 	}
 	validate(s, c)
 	return s
 }
 
+// memoryBytes returns the memory of the machine in whichever unit it is set.
+func memoryBytes(m *pb.LimitSettings, c *yamldoc.Checker) int64 {
+	field, n := "limits.memory-bytes", m.GetMemoryBytes()
+	if m.GetMemoryMegabytes() > 0 {
+		if n > 0 {
+			c.Fail("limits.memory-megabytes", "limits.memory-bytes is set too")
+			return 0
+		}
+		field, n = "limits.memory-megabytes", uint64(m.GetMemoryMegabytes())*megabyte
+	}
+	if n > 0 && (n < admission.MinMemory || n > maxMemory) {
+		c.Fail(field, fmt.Sprintf("want 0 for no bound, or %d to %d bytes", admission.MinMemory, int64(maxMemory)))
+		return 0
+	}
+	return int64(n)
+}
+
+// MemoryPlan returns the division of MemoryBytes. The responses to operations that are
+// retained have a bound of their own.
+func (s *Settings) MemoryPlan() admission.MemoryPlan {
+	var reserved int64
+	if s.PlatformProtocol != PlatformPrepared {
+		reserved = int64(s.MaxOperationBytes)
+	}
+	return admission.PlanMemory(s.MemoryBytes, reserved)
+}
+
 func validate(s *Settings, c *yamldoc.Checker) {
 	c.Name("instance.name", s.Name)
 	c.Name("instance.data-center", s.DataCenter)
@@ -294,6 +335,8 @@
 	if s.Budgets.RetrySlack < 0 || s.Budgets.ProbeBudget < 0 {
 		c.Fail("budgets", "a budget is negative")
 	}
+	c.NotNegative("budgets.warm-up-overshoot", s.Budgets.WarmUpOvershoot)
+	c.NotNegative("budgets.warm-up-slack", s.Budgets.WarmUpSlack)
 	if s.MaxRequestBodyBytes < 0 || s.MaxResponseBufferBytes < 0 || s.MaxTotalResponseBytes < 0 {
 		c.Fail("limits", "a size is out of range")
 	}
@@ -306,6 +349,9 @@
 	if s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors {
 		c.Fail("limits.descriptors", fmt.Sprintf("want %d or more", minDescriptors))
 	}
+	if s.MemoryBytes > 0 && s.MemoryPlan().Requests < s.MaxRequestBodyBytes {
+		c.Fail("limits", fmt.Sprintf("a body of request-body-bytes (%d) does not fit into the memory, which leaves %d for bodies", s.MaxRequestBodyBytes, s.MemoryPlan().Requests))
+	}
 	c.OneOf("log.level", s.LogLevel, "debug", "info", "warn", "error")
 }
 
--- a/pkg/tarragonwell/listing/listing_test.go
+++ b/pkg/tarragonwell/listing/listing_test.go
@@ -169,14 +169,14 @@
 			}
 			apply(&origin, c)
 			if rapid.IntRange(0, 3).Draw(t, "reader reads") == 0 {
-				apply(&reader, origin.ChangesSince(reader.Revision()))
+				apply(&reader, origin.ChangesSince(start, reader.Revision()))
 			}
 			if rapid.IntRange(0, 3).Draw(t, "follower fetches") == 0 {
-				apply(&follower, reader.ChangesSince(follower.Revision()))
+				apply(&follower, reader.ChangesSince(start, follower.Revision()))
 			}
 		}
-		apply(&reader, origin.ChangesSince(reader.Revision()))
-		apply(&follower, reader.ChangesSince(follower.Revision()))
+		apply(&reader, origin.ChangesSince(start, reader.Revision()))
+		apply(&follower, reader.ChangesSince(start, follower.Revision()))
 		later := start.Add(time.Minute)
 		for _, l := range []*Listing{&origin, &reader, &follower} {
 			l.DropRemoved(later)
@@ -190,3 +190,25 @@
 		}
 	})
 }
+
+// TestWarmUpTimeRunsOn guards against a warm-up time that starts anew when a list is
+// applied again or passed on, and against one without a bound.
+func TestWarmUpTimeRunsOn(t *testing.T) {
+	var l, follower Listing
+	until := func(l *Listing, want time.Time) {
+		t.Helper()
+		if got := l.Targets()["s"][0].WarmUpUntil; !got.Equal(want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	}
+	warming, later := target("a", 1), start.Add(2*time.Second)
+	warming.WarmUpRemaining = 3 * time.Second
+	apply(t, &l, start, fullList(5, warming))
+	apply(t, &l, later, fullList(6, warming))
+	until(&l, start.Add(3*time.Second))
+	apply(t, &follower, later, l.ChangesSince(later, 0))
+	until(&follower, start.Add(3*time.Second))
+	warming.Revision, warming.WarmUpRemaining = 7, 1000*time.Hour
+	apply(t, &l, later, fullList(7, warming))
+	until(&l, later.Add(time.Hour))
+}
--- a/pkg/tarragonwell/member.go
+++ b/pkg/tarragonwell/member.go
@@ -54,6 +54,17 @@
 	State   MemberState
 	// Heartbeat increases for as long as the incarnation runs.
 	Heartbeat uint64
+	// Age is the time since the instance itself sent the heartbeat. It is set in records
+	// that are passed on to peers.
+	Age time.Duration
+}
+
+// MemberSuspicion states that an incarnation did not respond to probes. A sign of life that
+// is more recent than the suspicion refutes it.
+type MemberSuspicion struct {
+	Incarnation Incarnation
+	// Age is the time since the first probe without a response.
+	Age time.Duration
 }
 
 // Holder records which instance took over the operations of an incarnation. A
@@ -89,3 +100,17 @@
 func (i Incarnation) String() string {
 	return hex.EncodeToString(i[:len(i)/2])
 }
+
+// FleetView is an instance's view of the fleet. Views of different instances differ for a
+// time after changes, and for as long as a partition lasts.
+type FleetView struct {
+	// Self is the instance's own record.
+	Self Member
+	// Alive holds the other instances in state starting or serving that count as alive,
+	// ordered by address.
+	Alive []Member
+	// Known is the number of instances that may be running, itself included: those with a
+	// retained record that have not stopped, the seeds and the listed instances. It is 0
+	// in a view that has not been filled.
+	Known int
+}
