Test late suspicions, and a resumed instance that nobody contacts first

Cause: without the code for them, no test failed: in the simulation another instance contacted the resumed one before its first round. Change: the first instance is suspended; a suspicion that arrives after its time has a test of its own.

--- a/pkg/tarragonwell/membership/fleet_test.go
+++ b/pkg/tarragonwell/membership/fleet_test.go
@@ -317,7 +317,8 @@
 	const n, rounds = 110, 8
 	s := newSimulation(n)
 	s.rounds(3)
-	suspended := s.views[1]
+	// The first instance runs its round before any other contacts it.
+	suspended := s.views[0]
 	s.down[suspended] = true
 	s.rounds(30)
 	s.down[suspended] = false
@@ -332,6 +333,25 @@
 	}
 }
 
+// TestLateSuspicionCanBeRefuted guards against a loss at the moment when an expired suspicion
+// arrives, as from the other side of a partition that has ended.
+func TestLateSuspicionCanBeRefuted(t *testing.T) {
+	v, now := newView(0), start.Add(time.Hour)
+	m := newMember(1, 1, 1, tarragonwell.MemberServing)
+	v.Merge(start, m)
+	v.RecordContact(now, newMember(2, 1, 1, tarragonwell.MemberServing))
+	v.MergeSuspicion(now, tarragonwell.MemberSuspicion{
+		Incarnation: m.Incarnation,
+		Age:         time.Minute,
+	})
+	if got := v.DetectLost(now); len(got) != 0 {
+		t.Errorf("on arrival: got %v, want no loss", got)
+	}
+	if got, want := len(v.DetectLost(now.Add(suspicionRounds/2*time.Second))), 1; got != want {
+		t.Errorf("without a refutation: got %d losses, want %d", got, want)
+	}
+}
+
 // TestReplacedInstance guards against an incarnation that keeps its successor at the same
 // address out of the views, also if the clock was set back in between.
 func TestReplacedInstance(t *testing.T) {
