--- a/internal/instance/drains_test.go
+++ b/internal/instance/drains_test.go
@@ -290,3 +290,38 @@
 		t.Errorf("got %d drains, want 0", got)
 	}
 }
+
+// TestResyncFetchesNewestAnnouncedList guards against calls that are placed again after a
+// pause by an older list than one of the queried peers has announced: a drain in that list
+// would be missed.
+func TestResyncFetchesNewestAnnouncedList(t *testing.T) {
+	store := &fakeStore{}
+	store.publish("rules")
+	paused := startFetchFixture(t, store)
+	paused.read(t)
+	older := startFetchFixture(t, store)
+	newest := startFetchFixture(t, store)
+	store.publish("rules 2")
+	older.read(t)
+	store.mu.Lock()
+	store.revision++
+	want := store.revision
+	store.list.Drains = append(store.list.Drains, tarragonwell.DataCenterDrain{
+		DataCenter: "north",
+		Revision:   want,
+	})
+	store.mu.Unlock()
+	newest.read(t)
+	store.mu.Lock()
+	store.down = true
+	store.mu.Unlock()
+	first, second := older.servePeersSlowly(t, 20*time.Millisecond), newest.servePeers(t)
+	paused.onNewerList(first, want-1)
+	paused.onNewerList(second, want)
+	paused.reconciler.mailbox.Post(resyncDone{})
+	for begin := time.Now(); paused.reconciler.snapshot.Load().listRevision != want; time.Sleep(time.Millisecond) {
+		if time.Since(begin) > fetchWait {
+			t.Fatalf("got list revision %d, want %d, which a queried peer announced", paused.reconciler.snapshot.Load().listRevision, want)
+		}
+	}
+}
--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -59,7 +59,16 @@
 // fail before a second one.
 func (rc *reconciler) fetchList(ctx context.Context, st *reconcilerState, m listHint) {
 	since, rules := st.list.Revision(), st.processedVersion()
-	if st.fetching[fetchList] || m.revision <= since {
+	if st.fetching[fetchList] {
+		if m.revision > st.newestHint.revision {
+			st.newestHint = m
+		}
+		return
+	}
+	if m.revision == st.newestHint.revision {
+		st.newestHint = listHint{}
+	}
+	if m.revision <= since {
 		return
 	}
 	st.fetching[fetchList] = true
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -95,6 +95,8 @@
 	invalidEntries map[string]bool
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
+	// newestHint is the hint with the highest revision that came during a fetch.
+	newestHint listHint
 	// resumeAfterFetch is set if the services resume after the pause when the fetch of the
 	// list in progress has ended.
 	resumeAfterFetch bool
@@ -233,6 +235,9 @@
 		if rc.applyUpdate(st, m) {
 			rc.reconcile(ctx, st, wg)
 		}
+		if m.fetched == fetchList {
+			rc.fetchList(ctx, st, st.newestHint)
+		}
 		if st.resumeAfterFetch && !st.fetching[fetchList] {
 			rc.resume(st)
 		}
--- a/internal/service/placement_probe.go
+++ b/internal/service/placement_probe.go
@@ -23,9 +23,15 @@
 	if d.call.Service.PlacementProbes == 0 {
 		return dr.acquire(ctx, d.request())
 	}
-	probed := true
-	for round := 0; probed; round++ {
-		probed = dr.placementProbeRound(ctx, d.request(), round)
+	// A round without a probe may mean that a lightly loaded target is known, which another
+	// call may then take. After a second one there is nothing left to probe.
+	for round, unprobed := 0, 0; unprobed < 2; {
+		if dr.placementProbeRound(ctx, d.request(), round) {
+			round++
+			unprobed = 0
+		} else {
+			unprobed++
+		}
 		r := d.request()
 		r.LightlyLoadedOnly = true
 		l, rejection := dr.acquire(ctx, r)
@@ -37,9 +43,8 @@
 }
 
 // placementProbeRound probes some targets and returns when all have responded or
-// the timeout has passed; later responses are still recorded. It reports whether
-// another round may follow: false if there were no targets to probe or ctx has
-// ended.
+// the timeout has passed; later responses are still recorded. It returns false if there
+// were no targets to probe or ctx has ended.
 func (dr *Dispatcher) placementProbeRound(ctx context.Context, r scheduling.AcquireRequest, round int) bool {
 	targets, err := task.Ask(ctx, dr.mailbox, func(reply chan<- []*target.Client) any {
 		return placementProbeMessage{
--- a/pkg/tarragonwell/scheduling/drained.go
+++ b/pkg/tarragonwell/scheduling/drained.go
@@ -49,3 +49,8 @@
 	}
 	return n
 }
+
+// returningGradually reports whether a target is in the slow start after a drain.
+func returningGradually(now time.Time, t *tarragonwell.TargetState) bool {
+	return now.Sub(t.RampStart) < t.MinRamp
+}
--- a/pkg/tarragonwell/scheduling/drained_test.go
+++ b/pkg/tarragonwell/scheduling/drained_test.go
@@ -293,3 +293,50 @@
 		t.Errorf("probes: got %v per second, want %v", got, want)
 	}
 }
+
+// TestLongCallsAvoidReturningTargets guards against long calls that are sent to targets before
+// their return while others are free: the share of a long kind may hold only returning ones.
+func TestLongCallsAvoidReturningTargets(t *testing.T) {
+	k := &tarragonwell.Kind{
+		Name:      "long",
+		Long:      true,
+		SlotShare: 0.1,
+		Timeout:   time.Minute,
+	}
+	for _, dataCenter := range []string{"a", "b"} {
+		s := newTwoDataCenterScheduler()
+		s.SetTargets(startTime, drainTargets(twoDataCenters(), dataCenter))
+		s.SetTargets(startTime, twoDataCenters())
+		// The share stays at SlotShare while there is demand for short calls.
+		s.shortDemand.average = 1000
+		d := s.Acquire(startTime, AcquireRequest{
+			ID:             1,
+			Kind:           k,
+			Deadline:       startTime.Add(time.Minute),
+			CallerTimeLeft: time.Minute,
+		})
+		if d.Grant != nil && startTime.Before(s.find(d.Grant.TargetID).ReturnAt) {
+			t.Errorf("after the drain of %s: got a target before its return, want another one", dataCenter)
+		}
+	}
+}
+
+// TestReturnedTargetsDoNotEndProbes guards against calls that are placed without probes while
+// only the first target of the local data centre has returned after a drain.
+func TestReturnedTargetsDoNotEndProbes(t *testing.T) {
+	s := newTwoDataCenterScheduler()
+	s.options.ServiceRule.PlacementProbes = 4
+	s.options.ServiceRule.ProbeBudget = 1000
+	s.SetTargets(startTime, drainTargets(twoDataCenters(), "a"))
+	s.SetTargets(startTime, twoDataCenters())
+	r := AcquireRequest{
+		ID:       1,
+		Kind:     shortKind,
+		Deadline: startTime.Add(time.Minute),
+	}
+	for at := 10 * time.Millisecond; at < 5*time.Second; at += 10 * time.Millisecond {
+		if len(s.PlacementProbeTargets(startTime.Add(at), r, 0)) == 0 {
+			t.Fatalf("%v after the end of the drain: got no targets to probe", at)
+		}
+	}
+}
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -35,7 +35,7 @@
 		return !t.Delisted && !ejected(now, t) && !suspected(now, t) && !now.Before(t.ReturnAt) && !slices.Contains(p.Exclude, t.ID)
 	}
 	s.filter(func(t *tarragonwell.TargetState) bool { return s.mayServe(now, t, p.Kind) && usable(t) })
-	if len(s.eligible) == 0 && len(p.Exclude) > 0 {
+	if len(s.eligible) == 0 && (len(p.Exclude) > 0 || s.anyReturning(now)) {
 		s.filter(func(t *tarragonwell.TargetState) bool { return s.admits(now, t) && usable(t) })
 	}
 	if len(s.eligible) == 0 {
@@ -47,6 +47,13 @@
 	return s.eligible
 }
 
+// anyReturning reports whether a target awaits its return after a drain.
+func (s *Scheduler) anyReturning(now time.Time) bool {
+	return slices.ContainsFunc(s.targets, func(t *tarragonwell.TargetState) bool {
+		return !t.Drained && now.Before(t.ReturnAt)
+	})
+}
+
 // filter sets eligible to the targets for which keep returns true.
 func (s *Scheduler) filter(keep func(*tarragonwell.TargetState) bool) {
 	s.eligible = s.eligible[:0]
--- a/pkg/tarragonwell/scheduling/placement_probe.go
+++ b/pkg/tarragonwell/scheduling/placement_probe.go
@@ -88,6 +88,10 @@
 	if round > 0 && r.Kind.CrossDataCenter && s.nearlyFull(now, targets) {
 		targets = policy.OverflowProbeTargets(eligible)
 	}
+	if len(targets) == 1 && returningGradually(now, targets[0]) {
+		// Most calls are still placed elsewhere.
+		targets = eligible
+	}
 	if len(targets) < 2 {
 		// There is nothing to choose from.
 		return nil
@@ -162,12 +166,27 @@
 	return slices.ContainsFunc(targets, func(t *tarragonwell.TargetState) bool { return s.lightlyLoaded(now, t) })
 }
 
+// lightlyLoadedInReach reports whether any of the targets that the policy prefers for a call
+// is lightly loaded: the nearest ones and, with CrossDataCenter, those probed on overflow.
+func (s *Scheduler) lightlyLoadedInReach(now time.Time, r AcquireRequest) bool {
+	targets := s.eligibleTargets(now, &admission.PendingCall{
+		Kind:    r.Kind,
+		Exclude: r.Exclude,
+	})
+	if !r.Kind.CrossDataCenter {
+		targets = policy.NearestTargets(targets, r.Kind)
+	}
+	return s.anyLightlyLoaded(now, targets)
+}
+
 // lightlyLoaded reports whether a recently probed target is neither slow nor
 // busy, so that probing others would gain little.
 func (s *Scheduler) lightlyLoaded(now time.Time, t *tarragonwell.TargetState) bool {
 	recent := now.Sub(t.PlacementProbedAt) < placementProbeTTL
 	utilization := (t.TotalCalls() + 1) / float64(t.Slots)
-	return recent && t.ReportedSlowdown <= lightLoadReportedSlowdown && utilization <= lightLoadUtilization
+	// An idle target of one slot is lightly loaded too.
+	hasRoom := t.TotalCalls() <= 0 || utilization <= lightLoadUtilization
+	return recent && t.ReportedSlowdown <= lightLoadReportedSlowdown && hasRoom
 }
 
 // RecordPlacementProbe records the load report in a target's response to a
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -140,10 +140,7 @@
 	if r.MustFinish && now.Add(s.expectedTime(r.Kind)).After(r.Deadline) {
 		return reject(r.ID, ReasonDeadline, 0)
 	}
-	if r.LightlyLoadedOnly && !s.anyLightlyLoaded(now, s.eligibleTargets(now, &admission.PendingCall{
-		Kind:    r.Kind,
-		Exclude: r.Exclude,
-	})) {
+	if r.LightlyLoadedOnly && !s.lightlyLoadedInReach(now, r) {
 		return reject(r.ID, ReasonBusy, 0)
 	}
 	if r.Retry {
--- a/pkg/tarragonwell/scheduling/small_targets_test.go
+++ b/pkg/tarragonwell/scheduling/small_targets_test.go
@@ -48,6 +48,11 @@
 		slots, running int
 		want           bool
 	}{
+		{
+			slots:   1,
+			running: 0,
+			want:    true,
+		},
 		{
 			slots:   2,
 			running: 0,
@@ -151,3 +156,21 @@
 		t.Errorf("got a mean slowdown of %v, want about %v", got, want)
 	}
 }
+
+// TestProbeRoundsIgnoreTargetsOutOfReach guards against rounds of placement probes that end
+// because of a lightly loaded target which the policy does not choose for the kind.
+func TestProbeRoundsIgnoreTargetsOutOfReach(t *testing.T) {
+	s := newTwoDataCenterScheduler()
+	s.options.ServiceRule.PlacementProbes = 4
+	probe(s, startTime, "t08", 0, 100)
+	probe(s, startTime, "t00", s.find("t00").Slots, 100)
+	d := s.Acquire(startTime, AcquireRequest{
+		ID:                1,
+		Kind:              shortKind,
+		Deadline:          startTime.Add(time.Second),
+		LightlyLoadedOnly: true,
+	})
+	if d.Rejection == nil || d.Rejection.Reason != ReasonBusy {
+		t.Errorf("got %+v, want a rejection as busy, so that the next round follows", d)
+	}
+}
