Mend what the review of abusive callers found

Cause and change, each with a test that failed before: - A body that no handler reads, and that is not sent, kept its connection for ever (OPTIONS *, GET *, CONNECT, requests for tickets); it is awaited for a second. - With a header timeout above 10 s, the rest of a rejected body was awaited for that much longer; the extension is for heads only. - A request with the method PRI and a header was taken for the start of HTTP/2, after which no head of the connection was counted.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -122,3 +122,14 @@
 		s.options.Common.Log.Debug("can't set the read deadline", "error", err)
 	}
 }
+
+// limitBodyTime bounds the time that net/http waits for a body which the handler does not
+// read, such as that of a request for tickets. readBody sets a limit of its own.
+func (s *Server) limitBodyTime(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			s.setReadDeadline(w, time.Now().Add(discardTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -81,9 +81,11 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(s.options.HTTP2)
 	server := &http.Server{
-		Handler:           s.limitHTTP2Heads(s.Handler()),
-		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
+		Handler: s.limitHTTP2Heads(s.limitBodyTime(s.Handler())),
+		// That handler reads a body without a time limit, past the guard.
+		DisableGeneralOptionsHandler: true,
+		Protocols:                    protocols,
+		ReadHeaderTimeout:            headerTimeout,
 		// The guard applies the limit in force.
 		MaxHeaderBytes: maxHeadBytes,
 		HTTP2: &http.HTTP2Config{
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -60,6 +60,8 @@
 	// unreserved is the cost of bytes that were returned and not yet reserved.
 	unreserved int64
 	http2      bool
+	// handling is set while a request is handled.
+	handling bool
 }
 
 // Read implements net.Conn.
@@ -180,6 +182,7 @@
 func (c *guardedConn) beginBody(r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.handling = true
 	if !c.http2 && r.ContentLength != 0 {
 		c.body = newBodyScanner(r.ContentLength)
 	}
@@ -190,6 +193,9 @@
 func (c *guardedConn) setState(s http.ConnState) {
 	c.mu.Lock()
 	isHTTP2 := c.http2
+	if s == http.StateIdle {
+		c.handling = false
+	}
 	c.mu.Unlock()
 	now := c.guard.options.Clock.Now()
 	c.guard.mu.Lock()
@@ -242,9 +248,13 @@
 }
 
 // SetReadDeadline implements net.Conn. It extends the deadline that net/http sets for a head
-// if the limit on heads is longer.
+// if the limit on heads is longer. Those that are set while a request is handled are for its
+// body.
 func (c *guardedConn) SetReadDeadline(t time.Time) error {
-	if extra := c.guard.options.Limits().Timeout - c.guard.options.ServerHeadTimeout; extra > 0 && time.Until(t) > 0 {
+	c.mu.Lock()
+	forHead := !c.handling && !c.http2
+	c.mu.Unlock()
+	if extra := c.guard.options.Limits().Timeout - c.guard.options.ServerHeadTimeout; forHead && extra > 0 && time.Until(t) > 0 {
 		t = t.Add(extra)
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/sockets/head_scanner.go
+++ b/internal/sockets/head_scanner.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// isHTTP2 reports whether the head starts an HTTP/2 connection without TLS.
+// isHTTP2 reports whether the head starts an HTTP/2 connection without TLS. With a header it
+// does not: net/http then goes on with HTTP/1 on the connection.
 func (h *headScanner) isHTTP2() bool {
-	return h.prefaceBytes == len(http2Preface)
+	return h.prefaceBytes == len(http2Preface) && h.lines == 2
 }
