--- a/pkg/tarragonwell/member.go
+++ b/pkg/tarragonwell/member.go
@@ -113,4 +113,8 @@
 	// retained record that have not stopped, the seeds and the listed instances. It is 0
 	// in a view that has not been filled.
 	Known int
+	// SeedMajority is set if more than half of the seeds and the listed instances count as
+	// alive, or if there are none. It holds on at most one side of a partition, also where
+	// no instance knows how many there are.
+	SeedMajority bool
 }
--- a/pkg/tarragonwell/membership/view.go
+++ b/pkg/tarragonwell/membership/view.go
@@ -82,6 +82,10 @@
 	heard := now.Add(-m.Age)
 	m.Age = 0
 	e := v.records[m.PeerAddress]
+	if e == nil && now.Sub(heard) > recordRetention {
+		// The tombstone of a lost peer has expired here, and not yet elsewhere.
+		return false
+	}
 	if e == nil {
 		v.insert(&peerEntry{
 			member:    m,
--- a/pkg/tarragonwell/scheduling/warm_up_test.go
+++ b/pkg/tarragonwell/scheduling/warm_up_test.go
@@ -14,7 +14,8 @@
 // setFullView gives a scheduler the view of instance i of n that sees all others.
 func setFullView(s *Scheduler, now time.Time, i, n int) {
 	view := tarragonwell.FleetView{
-		Known: n,
+		Known:        n,
+		SeedMajority: true,
 	}
 	for j := range n {
 		m := tarragonwell.Member{
--- a/pkg/tarragonwell/warmup/fleet.go
+++ b/pkg/tarragonwell/warmup/fleet.go
@@ -39,6 +39,9 @@
 	sufficientSince time.Time
 	// knownBefore is FleetView.Known at sufficientSince.
 	knownBefore int
+	// established is set once the view has settled: from then on Known is reliable. Before
+	// that, each part of a fleet that restarts in parts knows of its own instances only.
+	established bool
 }
 
 // member is another instance.
@@ -58,6 +61,7 @@
 	f.view = v
 	f.setAt = now
 	f.updateMembers(now)
+	f.established = f.established || !f.sufficientSince.IsZero() && now.Sub(f.sufficientSince) >= settleTime
 	switch {
 	case !f.sufficient():
 		f.sufficientSince = time.Time{}
@@ -100,12 +104,13 @@
 // sufficient reports whether this instance may be a sender by its view: it is not shutting
 // down and sees more than half of the known instances, itself included. At most one side of
 // a partition does. An instance that knows of others but has not heard from them does not.
+// Until the view has settled for the first time, it has to see most of the seeds too.
 func (f *fleet) sufficient() bool {
 	state := f.view.Self.State
 	if state != tarragonwell.MemberStarting && state != tarragonwell.MemberServing {
 		return false
 	}
-	return 2*(len(f.view.Alive)+1) > f.view.Known
+	return 2*(len(f.view.Alive)+1) > f.view.Known && (f.established || f.view.SeedMajority)
 }
 
 // alone reports whether this instance knows of no others.
--- a/pkg/tarragonwell/warmup/limit.go
+++ b/pkg/tarragonwell/warmup/limit.go
@@ -83,7 +83,10 @@
 // one sender, with less headroom if necessary, or none.
 func (l Limit) share(alone bool) (senders int, rate float64) {
 	if alone {
-		return l.shareOf(1, leastHeadroom)
+		// Instances without seeds don't know of each other.
+		if senders, rate = l.shareOf(1, intendedSenders*senderHeadroom); senders > 0 {
+			return senders, rate
+		}
 	}
 	if senders, rate = l.shareOf(intendedSenders, senderHeadroom); senders > 0 {
 		return senders, rate
--- a/pkg/tarragonwell/warmup/roster.go
+++ b/pkg/tarragonwell/warmup/roster.go
@@ -17,6 +17,9 @@
 	// lastRecorded is when each of the other instances last had a member record, by peer
 	// address. It does not hold those that announced that they have stopped.
 	lastRecorded map[string]time.Time
+	// stopped holds the addresses, of those that View was last given, whose instances
+	// announced that they have stopped. Their records expire earlier.
+	stopped map[string]bool
 }
 
 // View returns the view of the fleet. records holds the member records of the other
@@ -31,33 +34,56 @@
 			v.Alive = append(v.Alive, m)
 		}
 	}
-	stopped := r.update(now, records)
-	v.Known = 1 + len(r.lastRecorded)
-	counted := map[string]bool{
-		self.PeerAddress: true,
+	r.update(now, records)
+	r.countAddresses(&v, addresses)
+	return v
+}
+
+// countAddresses counts the instances at given addresses that have no record, and those that
+// are alive.
+func (r *Roster) countAddresses(v *tarragonwell.FleetView, addresses []string) {
+	present := map[string]bool{
+		v.Self.PeerAddress: true,
+	}
+	for _, m := range v.Alive {
+		present[m.PeerAddress] = true
 	}
+	v.Known = 1 + len(r.lastRecorded)
+	counted := map[string]bool{}
+	alive := 0
+	stopped := map[string]bool{}
 	for _, a := range addresses {
-		if _, recorded := r.lastRecorded[a]; a != "" && !recorded && !stopped[a] && !counted[a] {
-			counted[a] = true
+		if a == "" || counted[a] {
+			continue
+		}
+		counted[a] = true
+		if _, recorded := r.lastRecorded[a]; !recorded && !r.stopped[a] && a != v.Self.PeerAddress {
 			v.Known++
 		}
+		if present[a] {
+			alive++
+		}
+		stopped[a] = r.stopped[a]
 	}
-	return v
+	v.SeedMajority = len(counted) == 0 || 2*alive > len(counted)
+	r.stopped = stopped
 }
 
-// update applies the member records, and returns the addresses of the instances that have
-// stopped.
-func (r *Roster) update(now time.Time, records []tarragonwell.Member) (stopped map[string]bool) {
+// update applies the member records.
+func (r *Roster) update(now time.Time, records []tarragonwell.Member) {
 	if r.lastRecorded == nil {
 		r.lastRecorded = map[string]time.Time{}
 	}
-	stopped = map[string]bool{}
+	if r.stopped == nil {
+		r.stopped = map[string]bool{}
+	}
 	for _, m := range records {
 		if m.State == tarragonwell.MemberGone {
-			stopped[m.PeerAddress] = true
+			r.stopped[m.PeerAddress] = true
 			delete(r.lastRecorded, m.PeerAddress)
 			continue
 		}
+		delete(r.stopped, m.PeerAddress)
 		r.lastRecorded[m.PeerAddress] = now
 	}
 	for a, at := range r.lastRecorded {
@@ -65,5 +91,4 @@
 			delete(r.lastRecorded, a)
 		}
 	}
-	return stopped
 }
