Let an override replace its setting, also by zero or by a list

Cause: an override was merged: 0 was ignored, a list was appended, and a value could set other settings. Change: the field is cleared and set; a value may not hold braces or lines.

--- a/pkg/settingsfile/settings.go
+++ b/pkg/settingsfile/settings.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/tarragonwell/tarragonwell/internal/yamldoc"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
@@ -222,6 +222,12 @@
 	if value == "" {
 		return nil
 	}
+	if strings.ContainsAny(value, "{}\n") {
+		return []*yamldoc.FieldError{{
+			File:    "override " + strconv.Quote(text),
+			Message: "want the value of a single setting",
+		}}
+	}
 	keys := strings.Split(key, ".")
 	document := "{" + strings.Join(keys, ": {") + ": " + value + strings.Repeat("}", len(keys))
 	var part pb.Settings
@@ -229,10 +235,23 @@
 	if errs := d.Decode([]byte(document), &part); len(errs) > 0 {
 		return withFile("override "+strconv.Quote(text), errs)
 	}
-	proto.Merge(m, &part)
+	copyField(m.ProtoReflect(), part.ProtoReflect(), keys)
 	return nil
 }
 
+// copyField sets the field of a message at a path of keys to that of another message.
+func copyField(to, from protoreflect.Message, keys []string) {
+	field := to.Descriptor().Fields().ByJSONName(keys[0])
+	switch {
+	case len(keys) > 1:
+		copyField(to.Mutable(field).Message(), from.Get(field).Message(), keys[1:])
+	case from.Has(field):
+		to.Set(field, from.Get(field))
+	default:
+		to.Clear(field)
+	}
+}
+
 func convert(m *pb.Settings, c *yamldoc.Checker) *Settings {
 	s := &Settings{
 		Name:                   m.GetInstance().GetName(),
--- a/pkg/settingsfile/settings_test.go
+++ b/pkg/settingsfile/settings_test.go
@@ -169,11 +169,23 @@
 	if got, want := s.Budgets.WarmUpSlack, 0.0; got != want {
 		t.Errorf("override without a value: got %v, want %v", got, want)
 	}
+	withSeeds := validSettings + "peers: {seeds: [\"127.0.0.1:5\"]}\nlimits: {memory-megabytes: 184}\n"
+	s, err = Parse("f", []byte(withSeeds), `peers.seeds=["127.0.0.1:6"]`, "limits.memory-megabytes=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := strings.Join(s.Seeds, " "), "127.0.0.1:6"; got != want {
+		t.Errorf("seeds: got %v, want %v", got, want)
+	}
+	if got, want := s.MemoryBytes, int64(0); got != want {
+		t.Errorf("memory: got %v, want %v", got, want)
+	}
 	for override, want := range map[string]string{
-		"limits":              "want KEY=VALUE",
-		"limits.operation=7":  "unknown field",
-		"limits.operations=x": "limits.operations",
-		"limits=}{":           "override",
+		"limits": "want KEY=VALUE",
+		"limits.operations=7}, log: {level: debug": "single setting",
+		"limits.operation=7":                       "unknown field",
+		"limits.operations=x":                      "limits.operations",
+		"limits=}{":                                "override",
 	} {
 		_, err := Parse("f", []byte(validSettings), override)
 		if !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), want) {
