Close connections whose response is not read to make room

Callers that stopped reading a large response kept their places among the connections without a limit, so that 64 of them (limits.descriptors 128) kept all others out. If nothing else can be closed, the connection whose write has waited longest is now reset, if that is 10 s or more (reason "unread"). Writes to the socket are 64 KiB or less, so that a long response to a caller that reads slowly is many writes.

--- a/internal/sockets/guard.go
+++ b/internal/sockets/guard.go
@@ -207,7 +207,7 @@
 	for _, x := range closed {
 		g.closed[x.Reason].Inc()
 		if c, ok := x.Connection.Owner.(*guardedConn); ok {
-			_ = c.Conn.Close()
+			c.closeForRoom(x.Reason)
 		}
 	}
 	if len(closed) > 0 {
--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -17,11 +17,32 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
 
-// guardFixture is a server behind a guard. Its handler echoes the body of a request, or waits
-// for release if the path is /wait.
+// largeBody is more than the buffers of a connection hold.
+const largeBody = 64 << 20
+
+// shiftedClock is the system's clock, set forward.
+type shiftedClock struct {
+	common.SystemClock
+	shift atomic.Int64
+}
+
+// Now implements tarragonwell.Clock.
+func (c *shiftedClock) Now() time.Time {
+	return c.SystemClock.Now().Add(time.Duration(c.shift.Load()))
+}
+
+func (c *shiftedClock) advance(d time.Duration) {
+	c.shift.Add(int64(d))
+}
+
+// guardFixture is a server behind a guard. Its handler echoes the body of a request, waits
+// for release before if the path is /wait, or responds with largeBody bytes if it is /large.
 type guardFixture struct {
+	guard       *Guard
+	clock       shiftedClock
 	address     string
 	connections *common.ByteBudget
 	heads       *common.ByteBudget
@@ -64,10 +85,11 @@
 		Unavailable:       []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
 		TooLarge:          []byte("HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n\r\n"),
 		HTTP2:             true,
-		Clock:             common.SystemClock{},
+		Clock:             &f.clock,
 		Log:               log.New(io.Discard),
 		Metrics:           metrics.NewSet(),
 	})
+	f.guard = g
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -75,9 +97,13 @@
 		Protocols:         protocols,
 		ReadHeaderTimeout: time.Minute,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/wait" {
+			switch r.URL.Path {
+			case "/wait":
 				f.waiting.Add(1)
 				<-f.release
+			case "/large":
+				_, _ = w.Write(make([]byte, largeBody))
+				return
 			}
 			// net/http reads no more of a body once a response has begun.
 			body, err := io.ReadAll(r.Body)
@@ -293,3 +319,76 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return errors.Join(err, response.Body.Close())
 }
+
+// TestUnreadResponseIsClosedForNewConnection guards against callers that are locked out by
+// others that do not read their responses, against closing a connection whose request is worked
+// on, and against a response that is cut and looks complete, also over HTTP/1.0, where it ends
+// with the connection.
+func TestUnreadResponseIsClosedForNewConnection(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		f := startGuarded(t, 2, 0)
+		working, unread := f.dial(t), f.dial(t)
+		send(working, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+		await(t, "the request is handled", func() bool { return f.waiting.Load() == 1 })
+		send(unread, "GET /large HTTP/"+version+"\r\nHost: a\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(unread), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		await(t, "another caller is answered", func() bool {
+			f.clock.advance(admission.UnreadGrace)
+			c := f.dial(t)
+			defer c.Close()
+			send(c, get+"\r\n")
+			return status(c) == http.StatusOK
+		})
+		if n, err := io.Copy(io.Discard, response.Body); err == nil {
+			t.Errorf("HTTP/%s: unread response: got %d of %d bytes without an error, want an error", version, n, largeBody)
+		}
+		close(f.release)
+		if got, want := status(working), http.StatusOK; got != want {
+			t.Errorf("HTTP/%s: request that was worked on: got status %d, want %d", version, got, want)
+		}
+	}
+}
+
+// slowConn is a connection that calls afterWrite before a write returns.
+type slowConn struct {
+	net.Conn
+	afterWrite func()
+}
+
+// Write implements net.Conn.
+func (c *slowConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.afterWrite()
+	return n, err
+}
+
+// TestSlowReaderIsKept guards against closing the connection of a caller that reads a large
+// response slowly, as if it did not read.
+func TestSlowReaderIsKept(t *testing.T) {
+	f := startGuarded(t, 1, 0)
+	ours, caller := net.Pipe()
+	other, left := net.Pipe()
+	_ = left.Close()
+	go func() { _, _ = io.Copy(io.Discard, caller) }()
+	parts := 0
+	c := f.guard.open(&slowConn{
+		Conn: ours,
+		afterWrite: func() {
+			parts++
+			f.clock.advance(admission.UnreadGrace * 9 / 10)
+			if f.guard.open(other) != nil {
+				t.Errorf("part %d: got room for another connection, want none", parts)
+			}
+		},
+	})
+	if !f.guard.table.BeginRequest(c.entry, f.clock.Now()) {
+		t.Fatal("request: got false, want true")
+	}
+	got, err := c.Write(make([]byte, 1<<20))
+	if want := 1 << 20; got != want || err != nil || parts < 2 {
+		t.Errorf("got %d bytes in %d parts and %v, want %d in several and no error", got, parts, err, want)
+	}
+}
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -20,6 +20,9 @@
 	// otherwise reset the connection before the caller has read the response.
 	respondTimeout  = 50 * time.Millisecond
 	maxDiscardBytes = 64 << 10
+	// maxWriteBytes bounds one write to the socket, so that a long response to a caller that
+	// reads slowly is many writes, each of which shows that the caller reads.
+	maxWriteBytes = 64 << 10
 )
 
 // errRefused is the error of a body whose trailer exceeds the memory that is left.
@@ -83,6 +86,21 @@
 	return k, err
 }
 
+// Write implements net.Conn. It records the writes that wait for the caller.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	defer c.entry.EndWrite()
+	written := 0
+	for {
+		part := p[written:min(len(p), written+maxWriteBytes)]
+		c.entry.BeginWrite(c.guard.options.Clock.Now())
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // receive returns pending bytes or, if there are none, bytes of the socket.
 func (c *guardedConn) receive(p []byte) (int, error) {
 	c.mu.Lock()
@@ -269,6 +287,21 @@
 	return nil
 }
 
+// closeForRoom closes a connection that was removed from the table. One whose response is unread
+// is reset: the kernel discards what the caller has not received, and a caller whose response ends
+// with the connection, as over HTTP/1.0, does not take it for complete.
+func (c *guardedConn) closeForRoom(reason admission.CloseReason) {
+	if x, ok := c.Conn.(lingerer); ok && reason == admission.CloseUnread {
+		_ = x.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
+
+// lingerer is implemented by *net.TCPConn.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 // Close implements net.Conn. It releases what is reserved for the connection.
 func (c *guardedConn) Close() error {
 	err := c.Conn.Close()
--- a/pkg/tarragonwell/admission/connections.go
+++ b/pkg/tarragonwell/admission/connections.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"container/heap"
 	"container/list"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +22,9 @@
 	// idleGrace is the same for a connection after a response, so that the caller has read
 	// the response: closing resets the connection if further bytes have arrived.
 	idleGrace = 100 * time.Millisecond
+	// UnreadGrace is how long one write of a response may wait for the caller to read before
+	// the connection is closed to make room.
+	UnreadGrace = 10 * time.Second
 )
 
 // HeadCost estimates the memory in bytes that a request head takes while its request is in
@@ -47,6 +52,8 @@
 	CloseSlowHead
 	// CloseLargeHead is for heads that are not small.
 	CloseLargeHead
+	// CloseUnread is for connections whose caller does not read the response.
+	CloseUnread
 	// CloseReasons is the number of reasons.
 	CloseReasons
 )
@@ -56,6 +63,7 @@
 	CloseIdle:      "idle",
 	CloseSlowHead:  "slow-head",
 	CloseLargeHead: "large-head",
+	CloseUnread:    "unread",
 }
 
 // String returns the name of the reason in metrics.
@@ -69,8 +77,8 @@
 	Reason     CloseReason
 }
 
-// connectionState is what a connection does. No connection whose request is in progress is
-// closed to make room.
+// connectionState is what a connection does. A connection whose request is in progress is
+// closed to make room only if a write of its response waits for the caller.
 type connectionState int
 
 const (
@@ -103,6 +111,27 @@
 	headCost int64
 	// connectionCost is reserved in ConnectionTable.Connections.
 	connectionCost int64
+
+	// opened is when the connection was opened.
+	opened time.Time
+	// writeBegin is when the write in progress began, in nanoseconds after opened; 0 if there
+	// is none.
+	writeBegin atomic.Int64
+	// notBefore is a time before which no write in progress has begun, the order of
+	// ConnectionTable.busy. busyIndex is the place there.
+	notBefore time.Time
+	busyIndex int
+}
+
+// BeginWrite records that a write to the caller begins. Unlike the methods of the table, it may
+// be called concurrently with all others. Of concurrent writes, the last counts.
+func (c *Connection) BeginWrite(now time.Time) {
+	c.writeBegin.Store(max(1, int64(now.Sub(c.opened))))
+}
+
+// EndWrite records that a write has returned. It may be called as BeginWrite.
+func (c *Connection) EndWrite() {
+	c.writeBegin.Store(0)
 }
 
 // ConnectionTable decides which connections of callers are accepted, which heads are
@@ -129,6 +158,8 @@
 	idle    list.List
 	reading list.List
 	large   list.List
+	// busy holds the connections whose request is in progress.
+	busy busyHeap
 }
 
 // Open adds a connection. It returns nil if there is no room for it. The connections in
@@ -144,6 +175,7 @@
 	t.open++
 	c = &Connection{
 		connectionCost: t.ConnectionCost,
+		opened:         now,
 	}
 	t.enter(c, stateSilent, now)
 	return c, closed
@@ -260,7 +292,8 @@
 }
 
 // closeWaiting closes a connection to make room for a new one: one that was silent for a
-// while, the one that is idle for longest, or one whose head is slow.
+// while, the one that is idle for longest, one whose head is slow, or the one whose write waits
+// for longest.
 func (t *ConnectionTable) closeWaiting(now time.Time, slowAfter time.Duration) (ClosedConnection, bool) {
 	if c := first(&t.silent); c != nil && now.Sub(c.since) >= silentGrace {
 		return t.makeRoom(c, CloseSilent), true
@@ -268,7 +301,33 @@
 	if c := first(&t.idle); c != nil && now.Sub(c.since) >= idleGrace {
 		return t.makeRoom(c, CloseIdle), true
 	}
-	return t.closeSlowHead(nil, now, slowAfter)
+	if x, ok := t.closeSlowHead(nil, now, slowAfter); ok {
+		return x, true
+	}
+	return t.closeUnread(now)
+}
+
+// closeUnread closes the connection whose write to the caller waits for longest, if that is
+// UnreadGrace or more. Writes do not change the order of busy, as they are frequent: a connection
+// is put in its place when it is the first and its time has passed, at most once within
+// UnreadGrace.
+func (t *ConnectionTable) closeUnread(now time.Time) (ClosedConnection, bool) {
+	for len(t.busy) > 0 {
+		c := t.busy[0]
+		if now.Sub(c.notBefore) < UnreadGrace {
+			break
+		}
+		begin := now
+		if n := c.writeBegin.Load(); n != 0 {
+			begin = c.opened.Add(time.Duration(n))
+		}
+		if !begin.After(c.notBefore) {
+			return t.makeRoom(c, CloseUnread), true
+		}
+		c.notBefore = begin
+		heap.Fix(&t.busy, 0)
+	}
+	return ClosedConnection{}, false
 }
 
 // closeReading closes a connection whose head is being received, to make room for a further
@@ -316,10 +375,17 @@
 	if l := t.stateList(s); l != nil {
 		c.place = l.PushBack(c)
 	}
+	if s == stateBusy {
+		c.notBefore = now
+		heap.Push(&t.busy, c)
+	}
 }
 
 // leave removes a connection from the lists.
 func (t *ConnectionTable) leave(c *Connection) {
+	if c.state == stateBusy {
+		heap.Remove(&t.busy, c.busyIndex)
+	}
 	if c.place != nil {
 		t.stateList(c.state).Remove(c.place)
 		c.place = nil
@@ -343,3 +409,39 @@
 		return nil
 	}
 }
+
+// busyHeap is a heap of connections by notBefore.
+type busyHeap []*Connection
+
+// Len implements heap.Interface.
+func (h busyHeap) Len() int {
+	return len(h)
+}
+
+// Less implements heap.Interface.
+func (h busyHeap) Less(i, j int) bool {
+	return h[i].notBefore.Before(h[j].notBefore)
+}
+
+// Swap implements heap.Interface.
+func (h busyHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].busyIndex = i
+	h[j].busyIndex = j
+}
+
+// Push implements heap.Interface.
+func (h *busyHeap) Push(x any) {
+	c := x.(*Connection)
+	c.busyIndex = len(*h)
+	*h = append(*h, c)
+}
+
+// Pop implements heap.Interface.
+func (h *busyHeap) Pop() any {
+	last := len(*h) - 1
+	c := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return c
+}
--- a/pkg/tarragonwell/admission/connections_test.go
+++ b/pkg/tarragonwell/admission/connections_test.go
@@ -175,3 +175,43 @@
 		t.Errorf("reserved: got %d, want 0", got)
 	}
 }
+
+// TestUnreadResponsesMakeRoom guards against callers that keep all connections by not reading
+// their responses, and against closing one whose request is worked on or whose caller reads.
+func TestUnreadResponsesMakeRoom(t *testing.T) {
+	f := newFixture()
+	working, reading, unread := f.open(t, at(0)), f.open(t, at(0)), f.open(t, at(0))
+	for _, c := range []*Connection{working, reading, unread} {
+		f.receive(t, c, 10, at(0), true)
+		f.table.BeginRequest(c, at(0))
+	}
+	working.BeginWrite(at(0))
+	working.EndWrite()
+	reading.BeginWrite(at(0))
+	unread.BeginWrite(at(1))
+	reading.EndWrite()
+	reading.BeginWrite(at(2))
+	if c := f.open(t, at(10.9)); c != nil {
+		t.Error("before the time has passed: got a connection, want none")
+	}
+	next := f.open(t, at(13), CloseUnread)
+	if next == nil {
+		t.Fatal("beside unread responses: got no connection, want one")
+	}
+	if f.table.BeginRequest(unread, at(13)) {
+		t.Error("the write that waited longest: got an open connection, want a closed one")
+	}
+	f.receive(t, next, 10, at(13), true)
+	f.table.BeginRequest(next, at(13))
+	reading.EndWrite()
+	if c := f.open(t, at(100)); c != nil {
+		t.Error("while all requests are worked on: got a connection, want none")
+	}
+	reading.BeginWrite(at(101))
+	if c := f.open(t, at(110.9)); c != nil {
+		t.Error("before the time of a later write has passed: got a connection, want none")
+	}
+	if f.open(t, at(111), CloseUnread) == nil {
+		t.Error("beside an unread response: got no connection, want one")
+	}
+}
