Charge large heads to their share with their whole cost

The first 32 KiB of each large head were reserved outside the share of three quarters, so that large heads of requests in progress took the memory which is kept for small ones. A head that becomes large is now moved to the share.

--- a/pkg/tarragonwell/admission/connections.go
+++ b/pkg/tarragonwell/admission/connections.go
@@ -14,7 +14,7 @@
 	headByteCost = 2
 	headLineCost = 384
 	// SmallHeadCost is the cost up to which a head counts as small: that of 4 KiB in 60
-	// lines. What a head costs beyond it is reserved in ConnectionTable.LargeHeads.
+	// lines. The whole cost of a larger one is reserved in ConnectionTable.LargeHeads.
 	SmallHeadCost = 32 << 10
 	// silentGrace is how long a new connection may send nothing before it is closed to make
 	// room.
@@ -146,7 +146,7 @@
 	ConnectionCost int64
 	// Connections bounds the memory of connections without their heads.
 	Connections Budget
-	// Heads bounds the memory of heads up to SmallHeadCost each, and LargeHeads that beyond.
+	// Heads bounds the memory of heads, and LargeHeads that of heads above SmallHeadCost.
 	// LargeHeads is a part of Heads that leaves room for the heads of ordinary callers.
 	Heads      Budget
 	LargeHeads Budget
@@ -213,27 +213,30 @@
 	return closed, true
 }
 
-// reserveHead reserves the part of the cost that keeps the head small in Heads and the rest
-// in LargeHeads.
+// reserveHead reserves a further cost of a head: in Heads while the head is small, and in
+// LargeHeads once it is not. A head that becomes large is moved there as a whole: it is reserved
+// there first, so that no other head takes its place meanwhile if that fails.
 func (t *ConnectionTable) reserveHead(c *Connection, cost int64) bool {
-	small, large := splitCost(c.headCost, cost)
-	if !t.Heads.Reserve(small) {
-		return false
-	}
-	if large > 0 && !t.LargeHeads.Reserve(large) {
-		t.Heads.Release(small)
-		return false
+	after := c.headCost + cost
+	switch {
+	case after <= SmallHeadCost:
+		if !t.Heads.Reserve(cost) {
+			return false
+		}
+	case c.headCost > SmallHeadCost:
+		if !t.LargeHeads.Reserve(cost) {
+			return false
+		}
+	default:
+		if !t.LargeHeads.Reserve(after) {
+			return false
+		}
+		t.Heads.Release(c.headCost)
 	}
-	c.headCost += cost
+	c.headCost = after
 	return true
 }
 
-// splitCost returns how much of a further cost is within SmallHeadCost and beyond it.
-func splitCost(before, cost int64) (small, large int64) {
-	small = min(cost, max(0, SmallHeadCost-before))
-	return small, cost - small
-}
-
 // BeginRequest records that a head was received whole and its request begins. What is
 // reserved for it stays reserved until EndRequest or Close. It returns false if the connection
 // was closed meanwhile; the request must not be handled then.
@@ -285,9 +288,11 @@
 }
 
 func (t *ConnectionTable) releaseHead(c *Connection) {
-	small, large := splitCost(0, c.headCost)
-	t.Heads.Release(small)
-	t.LargeHeads.Release(large)
+	budget := t.Heads
+	if c.headCost > SmallHeadCost {
+		budget = t.LargeHeads
+	}
+	budget.Release(c.headCost)
 	c.headCost = 0
 }
 
