Tidy up after the reviews

- The conditions of an eligible target, and the steps in which they are relaxed, are lists in one comment.
- Counting an attempt in the retry budget is a function of its own, and says that a request for a lightly loaded target counts later.
- fleet.restart, which restarts no fleet, is resettle; beginBody, which runs for every request, is beginRequest; the drains of an instance are set once.

--- a/internal/instance/drains.go
+++ b/internal/instance/drains.go
@@ -42,13 +42,11 @@
 	var next drainStatus
 	next.inForce = drains.Combine(st.list.Drains(), st.rules.DataCenters)
 	next.affected = drains.Mark(byService, next.inForce)
-	previous := st.drains
-	st.drains = next
 	if st.list.Revision() == 0 {
-		st.drains.inForce = nil
-		st.drains.affected = nil
 		return
 	}
+	previous := st.drains
+	st.drains = next
 	for n, d := range next.inForce {
 		before, found := previous.find(d.DataCenter)
 		switch {
--- a/internal/sockets/guard.go
+++ b/internal/sockets/guard.go
@@ -124,7 +124,7 @@
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*guardedConn); ok {
-			c.beginBody(r)
+			c.beginRequest(r)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -118,9 +118,9 @@
 }
 
 // admit returns how many of the bytes belong to the current head or body. It fails if they
-// are refused, with a *refusal if the caller is to get a response. A single byte that does not end a head is
-// never refused, as net/http may read it while it writes the response of the request before;
-// its cost is reserved with the next bytes.
+// are refused, with a *refusal if the caller is to get a response. A single byte that does
+// not end a head is never refused, as net/http may read it while it writes the response of
+// the request before; its cost is reserved with the next bytes.
 func (c *guardedConn) admit(p []byte, single bool) (n int, err error) {
 	if c.http2 {
 		return len(p), nil
@@ -195,9 +195,9 @@
 	}
 }
 
-// beginBody is called before a request is handled. What is received next over HTTP/1 is its
+// beginRequest is called before a request is handled. What is received next over HTTP/1 is its
 // body.
-func (c *guardedConn) beginBody(r *http.Request) {
+func (c *guardedConn) beginRequest(r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling = true
--- a/pkg/tarragonwell/scheduling/eligible.go
+++ b/pkg/tarragonwell/scheduling/eligible.go
@@ -22,14 +22,19 @@
 // eligibleTargets returns the targets to which the call may be sent. The slice is
 // valid until the next call of this method.
 //
-// Targets that are drained, leaving or in backoff, or that are warming up and may not be
-// sent a call now, are never eligible, and long kinds are limited to a share of the targets.
-// Targets that are delisted, ejected, suspected,
-// returning after a drain or already tried are left out as well. If none remains, the
-// conditions are relaxed, trying one alternative after the other: first outside the kind's
-// share, if the call has tried some targets; then within the share, including tried,
-// ejected, suspected and returning targets; finally within the share, including delisted
-// ones too.
+// A target is eligible only if all of these hold, from the strongest condition on:
+//
+//   - inService: it is neither drained nor leaving;
+//   - accepts: nor in backoff;
+//   - admits: nor warming up without a token for it;
+//   - mayServe: it is within the share of the targets to which a long kind is limited;
+//   - usable: it is not delisted, ejected, suspected, returning after a drain or tried.
+//
+// If no target remains, the last two conditions are relaxed, one step after the other:
+//
+//  1. outside the kind's share, if the call has tried some targets or some are returning;
+//  2. within the share, tried, ejected, suspected and returning targets too;
+//  3. within the share, delisted ones too.
 func (s *Scheduler) eligibleTargets(now time.Time, p *admission.PendingCall) []*tarragonwell.TargetState {
 	usable := func(t *tarragonwell.TargetState) bool {
 		return !t.Delisted && !ejected(now, t) && !suspected(now, t) && !now.Before(t.ReturnAt) && !slices.Contains(p.Exclude, t.ID)
--- a/pkg/tarragonwell/scheduling/placement_probe.go
+++ b/pkg/tarragonwell/scheduling/placement_probe.go
@@ -39,9 +39,9 @@
 	queueProbeBatch = 2
 )
 
-// configurePlacementProbes sets the instance's share of the probe budget. The
-// budget is a rate per target that is not drained, so that the probe load on the targets does not
-// grow with the rate of calls.
+// configurePlacementProbes sets the instance's share of the probe budget. The budget is a
+// rate per target that is not drained, so that the probe load on the targets does not grow
+// with the rate of calls.
 func (s *Scheduler) configurePlacementProbes() {
 	service := s.options.ServiceRule
 	if service.PlacementProbes <= 0 {
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -141,15 +141,11 @@
 		return reject(r.ID, ReasonDeadline, 0)
 	}
 	if r.LightlyLoadedOnly && !s.lightlyLoadedInReach(now, r) {
+		// The call asks again and counts then.
 		return reject(r.ID, ReasonBusy, 0)
 	}
-	if r.Retry {
-		if !s.retries.TryWithdraw() {
-			return reject(r.ID, ReasonRetryBudget, 0)
-		}
-	} else {
-		// Calls that are rejected below count too.
-		s.retries.Deposit()
+	if !s.countAttempt(r) {
+		return reject(r.ID, ReasonRetryBudget, 0)
 	}
 	p := &admission.PendingCall{
 		ID:                r.ID,
@@ -174,6 +170,16 @@
 	return s.enqueue(now, p)
 }
 
+// countAttempt counts an attempt in the retry budget: first attempts add to it, also those
+// that are rejected later, and others take from it. It returns false if the budget is spent.
+func (s *Scheduler) countAttempt(r AcquireRequest) bool {
+	if r.Retry {
+		return s.retries.TryWithdraw()
+	}
+	s.retries.Deposit()
+	return true
+}
+
 // enqueue queues a call, or rejects it if it could not be served in time.
 func (s *Scheduler) enqueue(now time.Time, p *admission.PendingCall) Decision {
 	if s.onlyWarmUpLimited(now) {
--- a/pkg/tarragonwell/warmup/fleet.go
+++ b/pkg/tarragonwell/warmup/fleet.go
@@ -66,12 +66,12 @@
 	case !f.sufficient():
 		f.sufficientSince = time.Time{}
 	case f.sufficientSince.IsZero() || float64(v.Known) > settledGrowth*float64(f.knownBefore):
-		f.restart(now)
+		f.resettle(now)
 	}
 }
 
-// restart makes the view count as settled only after settleTime.
-func (f *fleet) restart(now time.Time) {
+// resettle makes the view count as settled only after settleTime.
+func (f *fleet) resettle(now time.Time) {
 	if !f.sufficient() {
 		return
 	}
--- a/pkg/tarragonwell/warmup/limiter.go
+++ b/pkg/tarragonwell/warmup/limiter.go
@@ -55,7 +55,7 @@
 // RecordPause records that the process was paused: the view of the fleet is from before
 // the pause, in which others may have become senders.
 func (l *Limiter) RecordPause(now time.Time) {
-	l.fleet.restart(now)
+	l.fleet.resettle(now)
 }
 
 // Retain forgets the targets for which keep returns false, once their buckets are full.
