--- a/review/rig2/backend.go
+++ b/review/rig2/backend.go
@@ -63,6 +63,8 @@
 	Address string
 	// Work is how long a request takes.
 	Work time.Duration
+	// BodyBytes is the size of the body of an answer.
+	BodyBytes int
 
 	runs   *Runs
 	store  *Store
@@ -76,24 +78,33 @@
 	sequence int
 }
 
+// smallBody is the size in bytes of the body of an answer of StartBackend's backends.
+const smallBody = 320
+
 // StartBackend starts a backend on a free loopback port and registers it as ready.
 func StartBackend(ctx context.Context, s *Store, runs *Runs, id, service, zone string, work time.Duration) (*Backend, error) {
+	return StartLargeBackend(ctx, s, runs, id, service, zone, work, smallBody)
+}
+
+// StartLargeBackend is StartBackend with a size of the answers' bodies in bytes.
+func StartLargeBackend(ctx context.Context, s *Store, runs *Runs, id, service, zone string, work time.Duration, bodyBytes int) (*Backend, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	b := &Backend{
-		ID:      id,
-		Service: service,
-		Zone:    zone,
-		Address: l.Addr().String(),
-		Work:    work,
-		runs:    runs,
-		store:   s,
-		born:    time.Now().UnixMilli(),
-		ctx:     ctx,
-		slots:   make(chan struct{}, Slots),
+		ID:        id,
+		Service:   service,
+		Zone:      zone,
+		Address:   l.Addr().String(),
+		Work:      work,
+		BodyBytes: bodyBytes,
+		runs:      runs,
+		store:     s,
+		born:      time.Now().UnixMilli(),
+		ctx:       ctx,
+		slots:     make(chan struct{}, Slots),
 	}
 	b.server = &http.Server{
 		Handler:  http.HandlerFunc(b.serve),
@@ -135,9 +146,10 @@
 	b.store.Delete("servers/" + b.ID)
 }
 
-// Body returns the body of the answer to an attempt.
-func Body(id string) string {
-	return strings.Repeat(seal(id), 20)
+// Body returns the body of the answer to an attempt, of the given size.
+func Body(id string, size int) string {
+	unit := seal(id)
+	return strings.Repeat(unit, size/len(unit)+1)[:size]
 }
 
 func seal(text string) string {
@@ -189,7 +201,7 @@
 		b.runs.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	body := Body(id)
+	body := Body(id, b.BodyBytes)
 	w.Header().Set("Response-Seal", seal(body))
 	_, _ = io.WriteString(w, body)
 }
--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -43,9 +43,16 @@
 	done      chan struct{}
 }
 
-// freeAddress returns a loopback address that is free now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// instanceIP returns the loopback address of the kth instance. It is one that outgoing
+// connections do not use, so that a port that was free stays free.
+func instanceIP(k int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%256, k+1)
+}
+
+// freeAddress returns an address of an IP address that is free now.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", err
 	}
@@ -64,7 +71,7 @@
 		}
 		for _, address := range []*string{&i.Front, &i.Readiness, &i.Control, &i.operators} {
 			var err error
-			if *address, err = freeAddress(); err != nil {
+			if *address, err = freeAddress(instanceIP(k)); err != nil {
 				return nil, err
 			}
 		}
