--- a/review/rig2/backend.go
+++ b/review/rig2/backend.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -65,6 +66,8 @@
 	Work time.Duration
 	// BodyBytes is the size of the body of an answer.
 	BodyBytes int
+	// Link is that of the machine which the answers go to; nil for one without a bound.
+	Link *Link
 
 	runs   *Runs
 	store  *Store
@@ -203,7 +206,29 @@
 	}
 	body := Body(id, b.BodyBytes)
 	w.Header().Set("Response-Seal", seal(body))
-	_, _ = io.WriteString(w, body)
+	b.write(w, body)
+}
+
+// windowBytes is how much of an answer is under way on a link at a time.
+const windowBytes = 64 << 10
+
+// write writes the body of an answer, over the link if there is one.
+func (b *Backend) write(w http.ResponseWriter, body string) {
+	if b.Link == nil {
+		_, _ = io.WriteString(w, body)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	for len(body) > 0 {
+		n := min(windowBytes, len(body))
+		b.Link.Pass(n)
+		// The write fails if the caller has left.
+		if _, err := io.WriteString(w, body[:n]); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		body = body[n:]
+	}
 }
 
 // acquire waits for a slot. It returns false if the queue is full or the caller leaves.
