--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,10 +1,12 @@
-// Command 6 shows that a fleet stops following the store when more than 4 MiB of changes wait
-// for it.
+// Command 6 shows that a fleet on thin links does not come back after all its processes were
+// killed, as it can't read a configuration in time that it had taken over while it ran.
 package main
 
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/review/rig2"
@@ -12,19 +14,20 @@
 
 const (
 	instances = 3
-	// addedRoutes is the number of routes by which the configuration has grown, and services
-	// that of the services among which each is split.
+	// linkBytesPerSecond is 10 Mbit/s, the thinnest link of the site.
+	linkBytesPerSecond = 10e6 / 8
+	// addedRoutes is the number of routes by which the configuration grows, and otherServices that
+	// of the services among which each is split.
 	addedRoutes   = 350
-	otherServices = 36
-	// The storm is one of config_storm, and the cut one of core_cut with one machine.
-	stormGap     = 275 * time.Millisecond
-	stormChanges = 16
-	cutTime      = 5500 * time.Millisecond
-	// drainsAfter is when a backend reports that it leaves, after the storm's beginning, and
-	// servesFor how long it then serves: the time that is asked for, and a little longer.
-	drainsAfter = 2200 * time.Millisecond
-	servesFor   = rig2.Drain + time.Second
-	observed    = 22 * time.Second
+	otherServices = 24
+	// The configuration grows at growsAfter. All processes are killed at killedAfter, and start
+	// again downTime later.
+	growsAfter  = 4 * time.Second
+	killedAfter = 12 * time.Second
+	downTime    = 1300 * time.Millisecond
+	// recoverTime is the bound of the pages, and observed for how long requests are counted then.
+	recoverTime = 15 * time.Second
+	observed    = 10 * time.Second
 	deadline    = 3 * time.Second
 )
 
@@ -32,17 +35,13 @@
 	rig2.Main("review/6", run)
 }
 
-// lastVersion is the version that the storm ends with.
-const lastVersion = 1 + stormChanges
-
-// configuration returns the nth version. Reads go to the service new in the last and to the
-// service old in all others.
-func configuration(version int) map[string]any {
-	route := func(path, kind, service string) map[string]any {
+// configuration returns the first or the grown version. Reads go to the service new in the latter.
+func configuration(grown bool) map[string]any {
+	route := func(path, service string) map[string]any {
 		return map[string]any{
 			"host":          rig2.Host,
 			"pathPrefix":    path,
-			"kind":          kind,
+			"kind":          "idempotent",
 			"timeout":       "2000ms",
 			"targetLatency": "500ms",
 			"priority":      1,
@@ -56,19 +55,35 @@
 		"protocol":   "h1",
 		"tls":        false,
 	}
-	reads := "old"
-	if version == lastVersion {
-		reads = "new"
+	version, reads := "00000001", "old"
+	if grown {
+		version, reads = "00000002", "new"
 	}
 	routes := map[string]any{
-		"r-read": route("/read/", "idempotent", reads),
-		"r-book": route("/book/", "non_idempotent", "booking"),
+		"r-read": route("/read/", reads),
 	}
 	services := map[string]any{
-		"old":     service,
-		"new":     service,
-		"booking": service,
+		"old": service,
+		"new": service,
+	}
+	if grown {
+		addRoutes(routes, services, route, service)
+	}
+	return map[string]any{
+		"version":  version,
+		"routes":   routes,
+		"services": services,
+		"limits": map[string]any{
+			"headerBytes":   16384,
+			"bodyBytes":     64 << 20,
+			"headerTimeout": "3000ms",
+			"idleTimeout":   "15000ms",
+		},
 	}
+}
+
+// addRoutes adds the routes by which the configuration grows.
+func addRoutes(routes, services map[string]any, route func(path, service string) map[string]any, service map[string]any) {
 	var split []any
 	for n := range otherServices {
 		name := fmt.Sprintf("department-service-%02d.production.shop.example", n)
@@ -79,29 +94,11 @@
 		})
 	}
 	for n := range addedRoutes {
-		r := route(fmt.Sprintf("/department/%04d/", n), "idempotent", "")
+		r := route(fmt.Sprintf("/department/%04d/", n), "")
 		delete(r, "service")
 		r["trafficSplit"] = split
 		routes[fmt.Sprintf("r-department-%04d", n)] = r
 	}
-	return map[string]any{
-		"version":  fmt.Sprintf("%08x", version),
-		"routes":   routes,
-		"services": services,
-		"limits": map[string]any{
-			"headerBytes":   16384,
-			"bodyBytes":     64 << 20,
-			"headerTimeout": "3000ms",
-			"idleTimeout":   "15000ms",
-		},
-	}
-}
-
-// times are the confirmations from which the rules count.
-type times struct {
-	moved   time.Time
-	drained time.Time
-	leaver  string
 }
 
 func run(ctx context.Context, c *rig2.Case) (int, error) {
@@ -112,132 +109,103 @@
 		return 0, err
 	}
 	var runs rig2.Runs
-	bookings := map[string]*rig2.Backend{}
-	for n := range 9 {
-		service := []string{"old", "new", "booking"}[n%3]
-		b, err := rig2.StartBackend(ctx, store, &runs, fmt.Sprintf("i-%s-%d", service, n/3), service, rig2.Zone(n/3), 180*time.Millisecond)
-		if err != nil {
+	for n := range 6 {
+		service := []string{"old", "new"}[n%2]
+		if _, err := rig2.StartBackend(ctx, store, &runs, fmt.Sprintf("i-%s-%d", service, n/2), service, rig2.Zone(n/2), 100*time.Millisecond); err != nil {
 			return 0, err
 		}
-		if service == "booking" {
-			bookings[b.Zone] = b
-		}
 	}
-	c.Note("the configuration has %d bytes", store.PutJSON("op/config", configuration(1)))
-	fleet, err := rig2.StartInstances(ctx, store, c.Folder, instances)
+	store.PutJSON("op/config", configuration(false))
+	fleet, err := rig2.StartThinInstances(ctx, store, c.Folder, instances, linkBytesPerSecond)
 	for _, i := range fleet {
 		defer i.End()
 	}
 	if err != nil {
 		return 0, err
 	}
+	begin := time.Now()
 	c.Note("all instances are ready")
 	loadCtx, endLoad := context.WithCancel(ctx)
 	defer endLoad()
 	var clients rig2.Clients
 	for _, i := range fleet {
 		clients.Load(loadCtx, i, "GET", "/read/", "", 100*time.Millisecond, deadline)
-		clients.Load(loadCtx, i, "POST", "/book/", "a booking", 40*time.Millisecond, deadline)
 	}
-	time.Sleep(rig2.Contact + time.Second)
-	cut := lastReader(fleet)
-	t := disturb(c, store, cut, bookings[otherZone(fleet, cut)])
-	time.Sleep(time.Until(t.moved.Add(observed)))
+	time.Sleep(time.Until(begin.Add(growsAfter)))
+	size := store.PutJSON("op/config", configuration(true))
+	grown := time.Now()
+	c.Note("the store has accepted a configuration of %d bytes", size)
+	time.Sleep(time.Until(begin.Add(killedAfter)))
+	killed := time.Now()
+	if err := killAll(ctx, c, fleet); err != nil {
+		return 0, err
+	}
+	back := time.Now()
+	time.Sleep(recoverTime + observed)
+	for _, i := range fleet {
+		c.Note("%s runs: %t, is ready: %t", i.Name, i.Running(), i.AwaitReady(100*time.Millisecond) == nil)
+	}
 	endLoad()
 	sent := clients.Wait()
-	status := judge(c, t, cut, sent, runs.All())
+	status := judge(c, grown, killed, back, sent, runs.All())
 	c.WriteAll(sent, runs.All())
 	return status, nil
 }
 
-// lastReader returns the instance that read the store last.
-func lastReader(fleet []*rig2.Instance) *rig2.Instance {
-	last := fleet[0]
-	for _, i := range fleet {
-		if i.Store.LastBytes().After(last.Store.LastBytes()) {
-			last = i
-		}
+// killAll kills all processes at once and starts them again.
+func killAll(ctx context.Context, c *rig2.Case, fleet []*rig2.Instance) error {
+	if !c.Trouble {
+		time.Sleep(downTime)
+		return nil
 	}
-	return last
-}
-
-// otherZone returns the zone of an instance that is not cut.
-func otherZone(fleet []*rig2.Instance, cut *rig2.Instance) string {
 	for _, i := range fleet {
-		if i != cut {
-			return i.Zone
-		}
+		i.Signal(syscall.SIGKILL)
 	}
-	return cut.Zone
-}
-
-// disturb cuts an instance from the store while configurations come in quick succession and a
-// backend leaves.
-func disturb(c *rig2.Case, store *rig2.Store, cut *rig2.Instance, leaver *rig2.Backend) times {
-	t := times{
-		leaver: leaver.ID,
-	}
-	if c.Trouble {
-		cut.Store.SetSilent(true)
-		c.Note("%s is cut from the store", cut.Name)
-		time.AfterFunc(cutTime, func() {
-			cut.Store.SetSilent(false)
-			c.Note("%s reaches the store again", cut.Name)
-		})
-	}
-	ended := make(chan struct{})
-	drained := make(chan time.Time, 1)
-	time.AfterFunc(drainsAfter, func() {
-		leaver.Register("draining")
-		drained <- time.Now()
-		c.Note("the store has accepted that %s is draining", leaver.ID)
-		time.Sleep(servesFor)
-		leaver.End()
-		c.Note("%s has ended", leaver.ID)
-		close(ended)
-	})
-	for n := range stormChanges {
-		store.PutJSON("op/config", configuration(n+2))
-		if n+2 < lastVersion {
-			time.Sleep(stormGap)
+	c.Note("all processes are killed")
+	time.Sleep(downTime)
+	for _, i := range fleet {
+		i.End()
+		if err := i.Start(ctx); err != nil {
+			return err
 		}
 	}
-	t.moved = time.Now()
-	c.Note("the store has accepted the last of %d versions, which moves reads to the service new", stormChanges)
-	t.drained = <-drained
-	<-ended
-	return t
+	c.Note("all processes are started again")
+	return nil
 }
 
-// judge applies the rules to the requests that machines in touch took.
-func judge(c *rig2.Case, t times, cut *rig2.Instance, sent map[string]rig2.Sent, runs []rig2.Run) int {
-	stale, late, lost := 0, 0, 0
-	var lastStale time.Time
+// judge applies RECOVER to the requests that were sent later than recoverTime after the machines
+// were back.
+func judge(c *rig2.Case, grown, killed, back time.Time, sent map[string]rig2.Sent, runs []rig2.Run) int {
+	inForce := map[string]bool{}
 	for _, r := range runs {
-		s, ok := sent[r.ID]
-		if !ok || s.Instance == cut {
-			continue
-		}
-		if r.Service == "old" && !r.Refused && s.At.After(t.moved.Add(rig2.ConfigApply)) {
-			stale++
-			if s.At.After(lastStale) {
-				lastStale = s.At
+		inForce[r.ID] = r.Service == "new"
+	}
+	var before, served, after, servedAfter int
+	var applied time.Duration
+	for _, s := range sent {
+		ok := s.Status == http.StatusOK
+		switch {
+		case s.At.Before(killed):
+			before++
+			if ok {
+				served++
 			}
-		}
-		if r.Backend == t.leaver && r.Reached.After(t.drained.Add(rig2.Drain)) {
-			late++
-			if r.Cut && s.Method == "POST" && s.Status != 200 {
-				lost++
+			if ok && !inForce[s.ID] && s.At.After(grown) {
+				applied = max(applied, s.At.Sub(grown))
+			}
+		case s.At.After(back.Add(recoverTime)):
+			after++
+			if ok {
+				servedAfter++
 			}
 		}
 	}
-	c.Note("CONFIG: %d reads that were sent more than %v after the confirmation ran at the old service", stale, rig2.ConfigApply)
-	if stale > 0 {
-		c.Note("CONFIG: the last of them was sent %.1f s after the confirmation", lastStale.Sub(t.moved).Seconds())
+	c.Note("before: %d of %d requests served; the last that the old configuration allows was sent %d ms after the new one's confirmation", served, before, applied.Milliseconds())
+	c.Note("RECOVER: %d of %d requests served that were sent later than %v after the machines were back", servedAfter, after, recoverTime)
+	if after == 0 || served*4 < before {
+		return rig2.CannotRun
 	}
-	c.Note("DRAIN: %d requests reached %s more than %v after the confirmation of its draining", late, t.leaver, rig2.Drain)
-	c.Note("DRAIN: %d bookings among them were cut off when it ended, and their callers got no success", lost)
-	if late > 0 {
+	if servedAfter*4 < after {
 		return rig2.Broken
 	}
 	return rig2.Held
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,5 +1,5 @@
-// Command 8 shows that an instance that stops reads requests and closes their connections without
-// an answer.
+// Command 8 shows that an instance that stops cuts off an answer if its client has sent a further
+// request meanwhile.
 package main
 
 import (
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -20,24 +21,19 @@
 
 const (
 	instances = 3
-	// linkBytesPerSecond is 10 Mbit/s, the thinnest link of the site.
-	linkBytesPerSecond = 10e6 / 8
-	// downloads is the number of downloads that are under way at a time, each of exportBytes.
-	downloads   = 6
-	exportBytes = 400_000
-	exportWork  = 58 * time.Millisecond
-	// The downloads begin at downloadsAt after the SIGTERM, and orders are sent from firstOrder to
-	// lastOrder after it.
-	downloadsAt = 1900 * time.Millisecond
-	orders      = 120
-	firstOrder  = 2200 * time.Millisecond
-	lastOrder   = 3000 * time.Millisecond
-	orderWork   = 94 * time.Millisecond
-	deadline    = 3 * time.Second
-	exportTime  = 4 * time.Second
-	// lossSlack and choked are bounds of the pages.
-	lossSlack = 200 * time.Millisecond
-	choked    = 500 * time.Millisecond
+	// bodyBytes is the size of a download, and work how long a backend takes to begin it.
+	bodyBytes = 540_000
+	work      = 110 * time.Millisecond
+	// rounds is the number of pairs of requests on a connection, one each interval; the instance
+	// gets SIGTERM in the middle of them.
+	connections = 20
+	interval    = 500 * time.Millisecond
+	rounds      = 8
+	// behind is how long after the first request of a pair the second is sent.
+	behind   = 40 * time.Millisecond
+	deadline = 2500 * time.Millisecond
+	// windowBytes is the receive buffer of a client.
+	windowBytes = 96 << 10
 )
 
 func main() {
@@ -45,33 +41,27 @@
 }
 
 func configuration() map[string]any {
-	route := func(path, kind, service, timeout string) map[string]any {
-		return map[string]any{
-			"host":          rig2.Host,
-			"pathPrefix":    path,
-			"kind":          kind,
-			"timeout":       timeout,
-			"targetLatency": "600ms",
-			"priority":      1,
-			"service":       service,
-			"maxAttempts":   2,
-		}
-	}
-	service := map[string]any{
-		"healthPath": "/health",
-		"maxConns":   820,
-		"protocol":   "h1",
-		"tls":        false,
-	}
 	return map[string]any{
 		"version": "00000001",
 		"routes": map[string]any{
-			"r-order":  route("/order/", "non_idempotent", "storefront", "2000ms"),
-			"r-export": route("/export/", "download", "backoffice", "4000ms"),
+			"r-manual": map[string]any{
+				"host":          rig2.Host,
+				"pathPrefix":    "/manual/",
+				"kind":          "download",
+				"timeout":       "2500ms",
+				"targetLatency": "400ms",
+				"priority":      2,
+				"service":       "manuals",
+				"maxAttempts":   2,
+			},
 		},
 		"services": map[string]any{
-			"storefront": service,
-			"backoffice": service,
+			"manuals": map[string]any{
+				"healthPath": "/health",
+				"maxConns":   820,
+				"protocol":   "h1",
+				"tls":        false,
+			},
 		},
 		"limits": map[string]any{
 			"headerBytes":   16384,
@@ -82,15 +72,19 @@
 	}
 }
 
-// result is the outcome of a request.
+// result is the outcome of the first request of a pair.
 type result struct {
-	id   string
-	sent time.Time
-	// arrived is when the whole request had arrived at the machine.
-	arrived time.Time
-	ended   time.Time
-	status  int
-	err     error
+	id    string
+	sent  time.Time
+	ended time.Time
+	// second is set if the second request was sent before the answer to the first had come.
+	second bool
+	status int
+	// closes is set if the answer says that the connection closes after it.
+	closes bool
+	got    int
+	whole  bool
+	err    error
 }
 
 func run(ctx context.Context, c *rig2.Case) (int, error) {
@@ -101,20 +95,10 @@
 		return 0, err
 	}
 	var runs rig2.Runs
-	// All requests go to one machine, over whose link they and the answers of backends come.
-	link := &rig2.Link{
-		BytesPerSecond: linkBytesPerSecond,
-	}
-	for n := range 12 {
-		service, work, size := "storefront", orderWork, 1500
-		if n%2 == 1 {
-			service, work, size = "backoffice", exportWork, exportBytes
-		}
-		b, err := rig2.StartLargeBackend(ctx, store, &runs, fmt.Sprintf("i-%02d", n), service, rig2.Zone(n/2), work, size)
-		if err != nil {
+	for n := range 9 {
+		if _, err := rig2.StartLargeBackend(ctx, store, &runs, fmt.Sprintf("i-%d", n), "manuals", rig2.Zone(n), work, bodyBytes); err != nil {
 			return 0, err
 		}
-		b.Link = link
 	}
 	store.PutJSON("op/config", configuration())
 	fleet, err := rig2.StartInstances(ctx, store, c.Folder, instances)
@@ -126,103 +110,128 @@
 	}
 	c.Note("all instances are ready")
 	time.Sleep(rig2.Contact)
-	connections, err := open(fleet[0].Front, downloads+orders)
-	if err != nil {
-		return 0, err
+	stopped := fleet[0]
+	var mu sync.Mutex
+	var results []result
+	var clients sync.WaitGroup
+	for n := range connections {
+		clients.Go(func() {
+			// The clients are spread over an interval.
+			time.Sleep(interval * time.Duration(n) / connections)
+			list := callOn(stopped.Front, n)
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, list...)
+		})
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(interval * rounds / 2)
 	terminated := time.Now()
 	if c.Trouble {
-		fleet[0].Signal(syscall.SIGTERM)
-		c.Note("%s gets SIGTERM", fleet[0].Name)
+		stopped.Signal(syscall.SIGTERM)
+		c.Note("%s gets SIGTERM", stopped.Name)
 	}
-	exports, late := play(connections, link, terminated)
-	return judge(c, terminated, link.Longest(), exports, late, runs.All()), nil
+	clients.Wait()
+	return judge(c, terminated, results, runs.All()), nil
 }
 
-// open opens connections on which nothing is sent yet.
-func open(address string, n int) ([]net.Conn, error) {
-	var connections []net.Conn
-	for range n {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			return nil, err
+// callOn sends pairs of requests on one connection until the connection closes.
+func callOn(address string, n int) []result {
+	var list []result
+	conn, err := dial(address)
+	if err != nil {
+		return list
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for round := range rounds {
+		begin := time.Now()
+		_ = conn.SetDeadline(begin.Add(deadline))
+		r := pair(conn, reader, fmt.Sprintf("c%d-%d", n, round))
+		list = append(list, r)
+		if r.err != nil || r.closes {
+			// What was sent behind it counts as not read.
+			return list
+		}
+		if _, err := readAnswer(reader, &result{}); err != nil {
+			return list
 		}
-		connections = append(connections, conn)
+		time.Sleep(time.Until(begin.Add(interval)))
 	}
-	return connections, nil
+	return list
 }
 
-// play sends a request on each connection: downloads first, then orders.
-func play(connections []net.Conn, link *rig2.Link, terminated time.Time) (exports, late []result) {
-	results := make([]result, len(connections))
-	var clients sync.WaitGroup
-	for n, conn := range connections {
-		clients.Go(func() {
-			defer conn.Close()
-			if n < downloads {
-				time.Sleep(time.Until(terminated.Add(downloadsAt)))
-				results[n] = call(conn, link, "GET", "/export/", fmt.Sprintf("export-%d", n), "", exportTime)
-				return
-			}
-			k := time.Duration(n - downloads)
-			time.Sleep(time.Until(terminated.Add(firstOrder + k*(lastOrder-firstOrder)/orders)))
-			results[n] = call(conn, link, "POST", "/order/", fmt.Sprintf("order-%d", k), "an order", deadline)
-		})
+// dial connects with a small window, as on the platform's links.
+func dial(address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var optionErr error
+			err := c.Control(func(fd uintptr) {
+				optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+			})
+			return errors.Join(err, optionErr)
+		},
 	}
-	clients.Wait()
-	return results[:downloads], results[downloads:]
+	return dialer.Dial("tcp", address)
 }
 
-// call sends a request over the link, in one piece, and reads the answer.
-func call(conn net.Conn, link *rig2.Link, method, path, id, body string, deadline time.Duration) result {
+// pair sends two requests, the second before the answer to the first, and reads that answer.
+func pair(conn net.Conn, reader *bufio.Reader, id string) result {
 	r := result{
-		id:   id,
+		id:   id + "a",
 		sent: time.Now(),
 	}
-	request := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, id, rig2.Host, id, deadline.Milliseconds(), len(body), body)
-	_ = conn.SetDeadline(r.sent.Add(deadline))
-	link.Pass(len(request))
-	r.arrived = time.Now()
-	_, r.err = io.WriteString(conn, request)
-	if r.err == nil {
-		var response *http.Response
-		response, r.err = http.ReadResponse(bufio.NewReader(conn), nil)
-		if r.err == nil {
-			r.status = response.StatusCode
-			_, r.err = io.Copy(io.Discard, response.Body)
-		}
+	if r.err = send(conn, r.id); r.err != nil {
+		return r
 	}
+	time.Sleep(behind)
+	r.second = send(conn, id+"b") == nil
+	body, err := readAnswer(reader, &r)
 	r.ended = time.Now()
+	r.err = err
+	r.got = len(body)
+	r.whole = err == nil && body == rig2.Body(r.id, bodyBytes)
 	return r
 }
 
-// judge applies LOST: a process has read a whole request, and the connection ends without an
-// answer later than lossSlack after its last byte was sent. That the process has read it shows in
-// how the connection ends: one that is closed with unread bytes is reset.
-func judge(c *rig2.Case, terminated time.Time, longest time.Duration, exports, late []result, runs []rig2.Run) int {
+func send(conn net.Conn, id string) error {
+	_, err := fmt.Fprintf(conn, "GET /manual/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", id, rig2.Host, id, deadline.Milliseconds())
+	return err
+}
+
+func readAnswer(reader *bufio.Reader, r *result) (string, error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	r.status, r.closes = response.StatusCode, response.Close
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+// judge applies LOST: a process has read a whole request, which was passed on to a backend, and
+// the connection ends without a complete answer.
+func judge(c *rig2.Case, terminated time.Time, results []result, runs []rig2.Run) int {
 	reached := map[string]bool{}
 	for _, r := range runs {
-		reached[r.ID] = true
-	}
-	lost := 0
-	all := append(slices.Clone(exports), late...)
-	for _, r := range all {
-		read := errors.Is(r.err, io.ErrUnexpectedEOF) || errors.Is(r.err, io.EOF)
-		broken := r.status == 0 && read && r.ended.Sub(r.sent) > lossSlack
-		c.Note("%s sent %.3f s after the SIGTERM, arrived after %d ms, ended after %d ms: status %d, reached a backend %t, error %v, broken %t",
-			r.id, r.sent.Sub(terminated).Seconds(), r.arrived.Sub(r.sent).Milliseconds(), r.ended.Sub(r.sent).Milliseconds(), r.status, reached[r.id], r.err, broken)
+		reached[r.ID] = !r.Refused
+	}
+	slices.SortFunc(results, func(a, b result) int { return a.sent.Compare(b.sent) })
+	stopping, lost := 0, 0
+	for _, r := range results {
+		during := c.Trouble && r.ended.After(terminated) && r.ended.Before(terminated.Add(rig2.Grace+time.Second))
+		timedOut := errors.Is(r.err, os.ErrDeadlineExceeded)
+		broken := reached[r.id] && r.err != nil && !timedOut
+		c.Note("%s sent at %.3f s, second sent %t, passed on %t: status %d, closes %t, %d of %d bytes after %d ms, whole %t, error %v",
+			r.id, c.At(r.sent), r.second, reached[r.id], r.status, r.closes, r.got, bodyBytes, r.ended.Sub(r.sent).Milliseconds(), r.whole, r.err)
+		if during {
+			stopping++
+		}
 		if broken {
 			lost++
 		}
 	}
-	c.Note("the longest wait at the link was %d ms", longest.Milliseconds())
-	c.Note("LOST: %d requests were read, and their connection was closed without an answer more than %v after they were sent", lost, lossSlack)
-	if longest > choked {
-		// The machine would count as slowed.
-		return rig2.CannotRun
-	}
+	c.Note("LOST: of %d requests, %d ended during the stop; %d were passed on to a backend and their connection ended without a complete answer", len(results), stopping, lost)
 	if lost > 0 {
 		return rig2.Broken
 	}
--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -62,6 +62,12 @@
 
 // StartInstances starts n instances with three zones and waits until they are ready.
 func StartInstances(ctx context.Context, s *Store, folder string, n int) ([]*Instance, error) {
+	return StartThinInstances(ctx, s, folder, n, 0)
+}
+
+// StartThinInstances is StartInstances with a bound on the link over which each instance gets the
+// answers of the store; 0 for no bound.
+func StartThinInstances(ctx context.Context, s *Store, folder string, n int, bytesPerSecond float64) ([]*Instance, error) {
 	var list []*Instance
 	var seeds []string
 	for k := range n {
@@ -79,6 +85,11 @@
 		if i.Store, err = StartRelay(ctx, s.Address); err != nil {
 			return nil, err
 		}
+		if bytesPerSecond > 0 {
+			i.Store.Link = &Link{
+				BytesPerSecond: bytesPerSecond,
+			}
+		}
 		seeds = append(seeds, i.Control)
 		list = append(list, i)
 	}
--- a/review/rig2/relay.go
+++ b/review/rig2/relay.go
@@ -11,7 +11,10 @@
 // passes nothing on, like a partition.
 type Relay struct {
 	Address string
-	to      string
+	// Link is that of the machine which opens the connections; nil for one without a bound. What
+	// it is sent passes over it. It is set before the first connection.
+	Link *Link
+	to   string
 
 	mu     sync.Mutex
 	silent bool
@@ -113,6 +116,9 @@
 			r.lastBytes = time.Now()
 			r.mu.Unlock()
 		}
+		if !opener && n > 0 && r.Link != nil {
+			r.Link.Pass(n)
+		}
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil || err != nil {
 			return
 		}
