--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -22,6 +22,8 @@
 	// maxPageItems and maxPageBytes bound a page of a range.
 	maxPageItems = 500
 	maxPageBytes = 1 << 20
+	// gapCheck is how often a watch checks whether a gap has ended.
+	gapCheck = 5 * time.Millisecond
 )
 
 // item is an entry of the store on the wire.
@@ -47,6 +49,8 @@
 	dropped uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// gap is set while watches hear nothing.
+	gap bool
 }
 
 // StartStore starts a store on a free loopback port.
@@ -99,6 +103,24 @@
 	})
 }
 
+// BeginGap makes the watches hear nothing until EndGap.
+func (s *Store) BeginGap() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gap = true
+}
+
+// EndGap drops the history and ends the watches that wait: they get status 410.
+func (s *Store) EndGap() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gap = false
+	s.dropped = s.revision
+	s.events = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Store) write(i item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,6 +184,15 @@
 	defer limit.Stop()
 	for {
 		events, at, changed, ok := s.since(after, query.Get("pathPrefix"))
+		if changed == nil && ok {
+			// In a gap; the client may give up.
+			select {
+			case <-time.After(gapCheck):
+			case <-r.Context().Done():
+				return
+			}
+			continue
+		}
 		if !ok {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -181,10 +212,14 @@
 	}
 }
 
-// since returns the changes after a revision; ok is false if they are no longer kept.
+// since returns the changes after a revision; ok is false if they are no longer kept, and changed
+// is nil in a gap.
 func (s *Store) since(after uint64, prefix string) (events []item, at uint64, changed chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.gap {
+		return nil, 0, nil, true
+	}
 	for len(s.events) > 0 && time.Since(s.events[0].written) > storeHistory {
 		s.dropped = s.events[0].Rev
 		s.events = s.events[1:]
