--- a/review/10/main.go
+++ b/review/10/main.go
@@ -14,10 +14,9 @@
 	instances = 3
 	// linkBytesPerSecond is 10 Mbit/s, the thinnest link of the site.
 	linkBytesPerSecond = 10e6 / 8
-	// addedRoutes is the number of routes by which the configuration grows, and otherServices that
-	// of the services among which each is split.
-	addedRoutes   = 350
-	otherServices = 24
+	// addedRoutes is the number of routes by which the configuration grows. Each is split among the
+	// services of otherServices.
+	addedRoutes = 1500
 	// The configuration grows at growsAfter. At gapAfter the watches hear nothing for gapTime, while
 	// a change is made; then the history is dropped. The changes that are judged are made when the
 	// store counts as stable again: contact after the longest platform_compact of the site file.
@@ -27,11 +26,19 @@
 	compactTime = 12 * time.Second
 	// servesFor is how long the backend that leaves still serves: the time that is asked for, and a
 	// little longer.
-	servesFor = rig2.Drain + time.Second
-	observed  = 15 * time.Second
-	deadline  = 3 * time.Second
+	servesFor = drain + time.Second
+	// drain and configApply are bounds of the site.
+	drain       = 2500 * time.Millisecond
+	configApply = 2500 * time.Millisecond
+	// bookingBackends is such that the one that leaves is less than 0.13 of its service.
+	bookingBackends = 8
+	observed        = 15 * time.Second
+	deadline        = 3 * time.Second
 )
 
+// otherServices are the services of the added routes.
+var otherServices = []string{"casefile-production", "searchdesk-production", "packroom-production"}
+
 func main() {
 	rig2.Main("review/10", run)
 }
@@ -91,19 +98,18 @@
 // addRoutes adds the routes by which the configuration grows.
 func addRoutes(routes, services map[string]any, route func(path, kind, service string) map[string]any, service map[string]any) {
 	var split []any
-	for n := range otherServices {
-		name := fmt.Sprintf("department-service-%02d.production.shop.example", n)
+	for n, name := range otherServices {
 		services[name] = service
 		split = append(split, map[string]any{
 			"service": name,
-			"weight":  1 + n%4,
+			"weight":  10 + n,
 		})
 	}
 	for n := range addedRoutes {
-		r := route(fmt.Sprintf("/department/%04d/", n), "idempotent", "")
+		r := route(fmt.Sprintf("/member-agency/%04d/references/", n), "idempotent", "")
 		delete(r, "service")
 		r["trafficSplit"] = split
-		routes[fmt.Sprintf("r-department-%04d", n)] = r
+		routes[fmt.Sprintf("r-member-agency-%04d-references", n)] = r
 	}
 }
 
@@ -116,14 +122,19 @@
 	}
 	var runs rig2.Runs
 	var leaver *rig2.Backend
-	for n := range 9 {
-		service := []string{"old", "new", "booking"}[n%3]
-		b, err := rig2.StartBackend(ctx, store, &runs, fmt.Sprintf("i-%s-%d", service, n/3), service, rig2.Zone(n/3), 180*time.Millisecond)
-		if err != nil {
-			return 0, err
-		}
-		if service == "booking" {
-			leaver = b
+	for service, n := range map[string]int{
+		"old":     3,
+		"new":     3,
+		"booking": bookingBackends,
+	} {
+		for k := range n {
+			b, err := rig2.StartBackend(ctx, store, &runs, fmt.Sprintf("i-%s-%d", service, k), service, rig2.Zone(k), 180*time.Millisecond)
+			if err != nil {
+				return 0, err
+			}
+			if service == "booking" {
+				leaver = b
+			}
 		}
 	}
 	store.PutJSON("op/config", configuration(1))
@@ -141,7 +152,7 @@
 	var clients rig2.Clients
 	for _, i := range fleet {
 		clients.Load(loadCtx, i, "GET", "/read/", "", 100*time.Millisecond, deadline)
-		clients.Load(loadCtx, i, "POST", "/book/", "a booking", 40*time.Millisecond, deadline)
+		clients.Load(loadCtx, i, "POST", "/book/", "a booking", 25*time.Millisecond, deadline)
 	}
 	time.Sleep(time.Until(begin.Add(growsAfter)))
 	size := store.PutJSON("op/config", configuration(2))
@@ -201,14 +212,14 @@
 		if !ok {
 			continue
 		}
-		if r.Service == "old" && s.At.After(t.moved.Add(rig2.ConfigApply)) {
+		if r.Service == "old" && s.At.After(t.moved.Add(configApply)) {
 			stale++
 			lastStale = max(lastStale, s.At.Sub(t.moved))
 		}
 		if r.Service == "new" {
 			followed = max(followed, s.At.Sub(t.moved))
 		}
-		if r.Backend == t.leaver && r.Reached.After(t.drained.Add(rig2.Drain)) {
+		if r.Backend == t.leaver && r.Reached.After(t.drained.Add(drain)) {
 			late++
 			if r.Cut && s.Method == "POST" && s.Status != 200 {
 				lost++
@@ -216,8 +227,8 @@
 		}
 	}
 	c.Note("CONFIG: %d reads that were sent more than %v after the confirmation ran at the old service, the last %.1f s after it; the last at the new one %.1f s after it",
-		stale, rig2.ConfigApply, lastStale.Seconds(), followed.Seconds())
-	c.Note("DRAIN: %d requests reached %s more than %v after the confirmation of its draining", late, t.leaver, rig2.Drain)
+		stale, configApply, lastStale.Seconds(), followed.Seconds())
+	c.Note("DRAIN: %d requests reached %s more than %v after the confirmation of its draining", late, t.leaver, drain)
 	c.Note("DRAIN: %d bookings among them were cut off when it ended, and their callers got no success", lost)
 	if late > 0 {
 		return rig2.Broken
--- a/review/6/main.go
+++ b/review/6/main.go
@@ -16,21 +16,23 @@
 	instances = 3
 	// linkBytesPerSecond is 10 Mbit/s, the thinnest link of the site.
 	linkBytesPerSecond = 10e6 / 8
-	// addedRoutes is the number of routes by which the configuration grows, and otherServices that
-	// of the services among which each is split.
-	addedRoutes   = 350
-	otherServices = 24
+	// addedRoutes is the number of routes by which the configuration grows. Each is split among the
+	// services of otherServices.
+	addedRoutes = 1500
 	// The configuration grows at growsAfter. All processes are killed at killedAfter, and start
 	// again downTime later.
 	growsAfter  = 4 * time.Second
 	killedAfter = 12 * time.Second
-	downTime    = 1300 * time.Millisecond
+	downTime    = 600 * time.Millisecond
 	// recoverTime is the bound of the pages, and observed for how long requests are counted then.
 	recoverTime = 15 * time.Second
 	observed    = 10 * time.Second
 	deadline    = 3 * time.Second
 )
 
+// otherServices are the services of the added routes.
+var otherServices = []string{"casefile-production", "searchdesk-production", "packroom-production"}
+
 func main() {
 	rig2.Main("review/6", run)
 }
@@ -85,19 +87,18 @@
 // addRoutes adds the routes by which the configuration grows.
 func addRoutes(routes, services map[string]any, route func(path, service string) map[string]any, service map[string]any) {
 	var split []any
-	for n := range otherServices {
-		name := fmt.Sprintf("department-service-%02d.production.shop.example", n)
+	for n, name := range otherServices {
 		services[name] = service
 		split = append(split, map[string]any{
 			"service": name,
-			"weight":  1 + n%4,
+			"weight":  10 + n,
 		})
 	}
 	for n := range addedRoutes {
-		r := route(fmt.Sprintf("/department/%04d/", n), "")
+		r := route(fmt.Sprintf("/member-agency/%04d/references/", n), "")
 		delete(r, "service")
 		r["trafficSplit"] = split
-		routes[fmt.Sprintf("r-department-%04d", n)] = r
+		routes[fmt.Sprintf("r-member-agency-%04d-references", n)] = r
 	}
 }
 
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -23,7 +23,7 @@
 	instances = 3
 	// bodyBytes is the size of a download, and work how long a backend takes to begin it.
 	bodyBytes = 540_000
-	work      = 110 * time.Millisecond
+	work      = 58 * time.Millisecond
 	// rounds is the number of pairs of requests on a connection, one each interval; the instance
 	// gets SIGTERM in the middle of them.
 	connections = 20
@@ -31,7 +31,7 @@
 	rounds      = 8
 	// behind is how long after the first request of a pair the second is sent.
 	behind   = 40 * time.Millisecond
-	deadline = 2500 * time.Millisecond
+	deadline = 4 * time.Second
 	// windowBytes is the receive buffer of a client.
 	windowBytes = 96 << 10
 )
@@ -41,22 +41,26 @@
 }
 
 func configuration() map[string]any {
+	route := func(path, kind, timeout string) map[string]any {
+		return map[string]any{
+			"host":          rig2.Host,
+			"pathPrefix":    path,
+			"kind":          kind,
+			"timeout":       timeout,
+			"targetLatency": "600ms",
+			"priority":      2,
+			"service":       "backoffice",
+			"maxAttempts":   2,
+		}
+	}
 	return map[string]any{
 		"version": "00000001",
 		"routes": map[string]any{
-			"r-manual": map[string]any{
-				"host":          rig2.Host,
-				"pathPrefix":    "/manual/",
-				"kind":          "download",
-				"timeout":       "2500ms",
-				"targetLatency": "400ms",
-				"priority":      2,
-				"service":       "manuals",
-				"maxAttempts":   2,
-			},
+			"r-export":  route("/export/", "download", "4000ms"),
+			"r-archive": route("/archive/", "idempotent", "3000ms"),
 		},
 		"services": map[string]any{
-			"manuals": map[string]any{
+			"backoffice": map[string]any{
 				"healthPath": "/health",
 				"maxConns":   820,
 				"protocol":   "h1",
@@ -96,7 +100,7 @@
 	}
 	var runs rig2.Runs
 	for n := range 9 {
-		if _, err := rig2.StartLargeBackend(ctx, store, &runs, fmt.Sprintf("i-%d", n), "manuals", rig2.Zone(n), work, bodyBytes); err != nil {
+		if _, err := rig2.StartLargeBackend(ctx, store, &runs, fmt.Sprintf("i-%d", n), "backoffice", rig2.Zone(n), work, bodyBytes); err != nil {
 			return 0, err
 		}
 	}
@@ -180,11 +184,11 @@
 		id:   id + "a",
 		sent: time.Now(),
 	}
-	if r.err = send(conn, r.id); r.err != nil {
+	if r.err = send(conn, "/export/", r.id); r.err != nil {
 		return r
 	}
 	time.Sleep(behind)
-	r.second = send(conn, id+"b") == nil
+	r.second = send(conn, "/archive/", id+"b") == nil
 	body, err := readAnswer(reader, &r)
 	r.ended = time.Now()
 	r.err = err
@@ -193,8 +197,8 @@
 	return r
 }
 
-func send(conn net.Conn, id string) error {
-	_, err := fmt.Fprintf(conn, "GET /manual/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", id, rig2.Host, id, deadline.Milliseconds())
+func send(conn net.Conn, path, id string) error {
+	_, err := fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", path, id, rig2.Host, id, deadline.Milliseconds())
 	return err
 }
 
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -29,7 +29,7 @@
 	// The downloads begin at downloadsAt after the SIGTERM, and orders are sent from firstOrder to
 	// lastOrder after it.
 	downloadsAt = 1900 * time.Millisecond
-	orders      = 120
+	orders      = 24
 	firstOrder  = 2200 * time.Millisecond
 	lastOrder   = 3000 * time.Millisecond
 	orderWork   = 94 * time.Millisecond
@@ -66,7 +66,7 @@
 	return map[string]any{
 		"version": "00000001",
 		"routes": map[string]any{
-			"r-order":  route("/order/", "non_idempotent", "storefront", "2000ms"),
+			"r-order":  route("/order/", "non_idempotent", "storefront", "1500ms"),
 			"r-export": route("/export/", "download", "backoffice", "4000ms"),
 		},
 		"services": map[string]any{
