--- a/test/standin/prepared/store.go
+++ b/test/standin/prepared/store.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/tarragonwell/tarragonwell/test/standin/link"
 )
 
 // Fault is an injected fault of the store.
@@ -29,8 +31,15 @@
 	FaultUnresponsive
 	// FaultReset closes the connection of every request without a response.
 	FaultReset
+	// FaultStalled begins a response and does not go on.
+	FaultStalled
+	// FaultTrickling sends a response without end, a byte at a time.
+	FaultTrickling
 )
 
+// trickleInterval is the time between two bytes of FaultTrickling.
+const trickleInterval = 20 * time.Millisecond
+
 // pageSize is the maximum number of items in a page of a range response.
 const pageSize = 20
 
@@ -46,6 +55,8 @@
 type Store struct {
 	// Address is the listening address; a port of 0 is replaced by Start.
 	Address string
+	// BytesPerSecond bounds the bandwidth of all responses together; 0 for no limit.
+	BytesPerSecond float64
 
 	mu       sync.Mutex
 	revision uint64
@@ -79,6 +90,12 @@
 		return err
 	}
 	s.Address = l.Addr().String()
+	if s.BytesPerSecond > 0 {
+		l = &link.Listener{
+			Listener:       l,
+			BytesPerSecond: s.BytesPerSecond,
+		}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.withFault(s.handleRange))
 	mux.HandleFunc("GET /kv-watch", s.withFault(s.handleWatch))
@@ -177,12 +194,27 @@
 			<-r.Context().Done()
 		case FaultReset:
 			panic(http.ErrAbortHandler)
+		case FaultStalled:
+			writeBlank(w)
+			<-r.Context().Done()
+		case FaultTrickling:
+			for r.Context().Err() == nil {
+				writeBlank(w)
+				time.Sleep(trickleInterval)
+			}
 		default:
 			next(w, r)
 		}
 	}
 }
 
+// writeBlank sends a byte that may come before a JSON document.
+func writeBlank(w http.ResponseWriter) {
+	// The write fails if the client has disconnected; there is nothing to do then.
+	_, _ = w.Write([]byte{' '})
+	_ = http.NewResponseController(w).Flush()
+}
+
 // handleRange responds with one page of the entries under a prefix, by key.
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
