Judge the fetch of rules and list from a peer by its progress

What callers would see: an instance that learns of changes through its peers keeps the old rules, for good if the new ones are large and the link of the peer is thin.

Several instances that fetch at the same time share the link of the peer, and fetches that were given up began anew.

Change: the fetches have the same limits on the beginning of the response and on pauses in it. The services still wait at most 600 ms for a list after a pause of the process, as before.

--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -34,8 +34,6 @@
 	}
 	st.fetching[fetchRules] = true
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
 		var rules *tarragonwell.PublishedRules
 		err := rc.isolate("fetch rules", func() (err error) {
 			rules, err = rc.peers.FetchRules(ctx, m.from)
@@ -73,8 +71,6 @@
 	}
 	st.fetching[fetchList] = true
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
 		var update tarragonwell.PlatformUpdate
 		err := rc.isolate("fetch list", func() (err error) {
 			update, err = rc.peers.FetchList(ctx, m.from, since, rules)
@@ -93,7 +89,7 @@
 
 // resync reads the platform again and queries a few peers, after the process was
 // paused. The services resume when it is done, and a newer list of these peers has been
-// fetched, even if all reads have failed.
+// fetched or was waited for until resumeTimeout, even if all reads have failed.
 func (rc *reconciler) resync(ctx context.Context, st *reconcilerState) {
 	if st.resyncing {
 		return
@@ -134,7 +130,7 @@
 // have been passed to them before.
 func (rc *reconciler) resume(st *reconcilerState) {
 	st.resyncing = false
-	st.resumeAfterFetch = false
+	st.resumeBy = time.Time{}
 	for _, r := range st.running {
 		r.dispatcher.ConfirmTargets()
 	}
--- a/internal/instance/fetch_test.go
+++ b/internal/instance/fetch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,6 +18,7 @@
 	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/standin/link"
 )
 
 // fakeStore is a platform with one feed, whose list has the revision of all its data.
@@ -142,6 +144,8 @@
 	*Instance
 	ctx   context.Context
 	store *fakeStore
+	// bytesPerSecond bounds the bandwidth of what is served to peers; 0 for no limit.
+	bytesPerSecond float64
 }
 
 func startFetchFixture(t *testing.T, store *fakeStore) *fetchFixture {
@@ -232,6 +236,12 @@
 		handler.ServeHTTP(w, r)
 	}))
 	server.Config.Protocols = protocols
+	if f.bytesPerSecond > 0 {
+		server.Listener = &link.Listener{
+			Listener:       server.Listener,
+			BytesPerSecond: f.bytesPerSecond,
+		}
+	}
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
@@ -278,3 +288,41 @@
 		})
 	}
 }
+
+// TestLargeRulesOverSlowLinkFromPeer guards against an instance that never gets the rules from
+// its peers, as the largest rules take longer over a peer's link than a response could take.
+func TestLargeRulesOverSlowLinkFromPeer(t *testing.T) {
+	const (
+		bytesPerSecond = 10e6 / 8
+		// rulesBytes is the largest value of the prepared platform's store.
+		rulesBytes = 1 << 20
+	)
+	for name, hint := range map[string]func(i *Instance, from string, store *fakeStore){
+		"list": func(i *Instance, from string, store *fakeStore) {
+			i.onNewerList(from, store.revision)
+		},
+		"rules": func(i *Instance, from string, store *fakeStore) {
+			i.onNewerRules(from, rulesfile.VersionOf(store.rules.Revision, store.rules.Content))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := &fakeStore{}
+			// Responses are compressed, so the rules are random.
+			content := make([]byte, rulesBytes)
+			_, _ = rand.NewChaCha8([32]byte{}).Read(content)
+			store.publish(string(content))
+			reader := startFetchFixture(t, store)
+			reader.bytesPerSecond = bytesPerSecond
+			reader.read(t)
+			other := startFetchFixture(t, store)
+			hint(other.Instance, reader.servePeers(t), store)
+			for begin := time.Now(); time.Since(begin) < fetchWait && other.rulesContent() == ""; {
+				time.Sleep(time.Millisecond)
+			}
+			if got := len(other.rulesContent()); got != rulesBytes {
+				t.Errorf("got rules of %d bytes, want %d", got, rulesBytes)
+			}
+		})
+	}
+}
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -20,13 +20,12 @@
 
 const (
 	mailboxSize = 256
-	// fetchTimeout is short, because fetches run one at a time and an unresponsive
-	// peer must not delay data that other peers have.
-	fetchTimeout = 600 * time.Millisecond
 	// tickInterval is the interval at which the instances are counted, and removed
 	// (delisted) targets are dropped once their grace period is over.
 	tickInterval  = 200 * time.Millisecond
 	resyncTimeout = 900 * time.Millisecond
+	// resumeTimeout bounds the wait for a peer's list after a resync.
+	resumeTimeout = 600 * time.Millisecond
 	// resyncPeerCount is the number of peers queried in a resync.
 	resyncPeerCount = 3
 	// fromPlatform is the source of updates that were read from the platform. The
@@ -97,9 +96,9 @@
 	resyncing bool
 	// newestHint is the hint with the highest revision that came during a fetch.
 	newestHint listHint
-	// resumeAfterFetch is set if the services resume after the pause when the fetch of the
-	// list in progress has ended.
-	resumeAfterFetch bool
+	// resumeBy is set if the services resume after the pause when the fetch of the list in
+	// progress has ended, and at this time at the latest; zero otherwise.
+	resumeBy time.Time
 	// drains holds the drains that were last recorded.
 	drains drainStatus
 	// updatedFrom is the source of the latest update.
@@ -208,6 +207,9 @@
 			rc.updateCounts(st)
 			rc.updateFleet(st)
 			rc.applyLeaving(st)
+			if !st.resumeBy.IsZero() && rc.common.Clock.Now().After(st.resumeBy) {
+				rc.resume(st)
+			}
 		}
 	}
 }
@@ -238,7 +240,7 @@
 		if m.fetched == fetchList {
 			rc.fetchList(ctx, st, st.newestHint)
 		}
-		if st.resumeAfterFetch && !st.fetching[fetchList] {
+		if !st.resumeBy.IsZero() && !st.fetching[fetchList] {
 			rc.resume(st)
 		}
 	case changesSinceMessage:
@@ -252,7 +254,7 @@
 	case resyncDone:
 		if st.fetching[fetchList] {
 			// A peer has a newer list, which may have drains.
-			st.resumeAfterFetch = true
+			st.resumeBy = rc.common.Clock.Now().Add(resumeTimeout)
 			return
 		}
 		rc.resume(st)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,6 +31,10 @@
 	pingInterval    = 5 * time.Second
 	pingTimeout     = time.Second
 	maxMessageBytes = 64 << 20
+	// fetchTimeout bounds the time until a response with the rules or the list begins, and a
+	// pause in it. It is short, because an instance fetches from one peer at a time and an
+	// unresponsive peer must not delay data that other peers have.
+	fetchTimeout = 600 * time.Millisecond
 	// refreshBytes is an estimate of the size of an exchange in both directions.
 	refreshBytes = 1 << 10
 )
@@ -85,6 +89,18 @@
 		connect.WithReadMaxBytes(maxMessageBytes))
 }
 
+// fetchClient is serviceClient for responses that may be large. They have to begin within the
+// timeout and then to go on arriving; the whole response has no time limit.
+func (p *Peers) fetchClient(address string, timeout time.Duration) tarragonwellv1connect.PeerServiceClient {
+	client := sockets.ProgressClient{
+		HTTP:         p.client,
+		HeadTimeout:  timeout,
+		StallTimeout: timeout,
+	}
+	return tarragonwellv1connect.NewPeerServiceClient(client, "http://"+address,
+		connect.WithReadMaxBytes(maxMessageBytes))
+}
+
 // Exchange sends gossip to a peer and returns the peer's own. The error wraps
 // ErrRequestFailed.
 func (p *Peers) Exchange(ctx context.Context, address string, r *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
@@ -98,7 +114,7 @@
 // FetchRules returns the rules that a peer has in force. The error wraps
 // ErrRequestFailed.
 func (p *Peers) FetchRules(ctx context.Context, address string) (*tarragonwell.PublishedRules, error) {
-	response, err := p.serviceClient(address).FetchRules(ctx, connect.NewRequest(&pb.FetchRulesRequest{}))
+	response, err := p.fetchClient(address, fetchTimeout).FetchRules(ctx, connect.NewRequest(&pb.FetchRulesRequest{}))
 	if err != nil {
 		return nil, eris.Wrap(ErrRequestFailed, err.Error())
 	}
@@ -110,7 +126,7 @@
 // ErrRequestFailed.
 func (p *Peers) FetchList(ctx context.Context, address string, since uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
 	var none tarragonwell.PlatformUpdate
-	response, err := p.serviceClient(address).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{
+	response, err := p.fetchClient(address, fetchTimeout).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{
 		Since: since,
 		Rules: versionToProto(rules),
 	}))
