Judge responses of the default platform by their progress

Evidence: TestLargeRulesOverSlowLink (1 MiB of rules over 500 kB/s) failed before with "context deadline exceeded". Change: 2 s until the response begins, and for a pause in it.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonwell/tarragonwell/internal/sockets"
 	pb "github.com/tarragonwell/tarragonwell/pkg/api/tarragonwell/v1"
 	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
@@ -29,8 +30,9 @@
 	instancesPath = "/v1/instances"
 	// rulesFileName is the file name in errors that concern the rules file.
 	rulesFileName = "rules"
-	// responseSlack is the time that a response may take in addition to the wait of
-	// a watch.
+	// responseSlack is the time until a response begins in addition to the wait of a
+	// watch, and the longest pause in it. The whole response has no time limit: large
+	// rules take long over a slow link.
 	responseSlack    = 2 * time.Second
 	maxResponseBytes = 4 << 20
 )
@@ -129,14 +131,17 @@
 // watch makes one long-poll request for changes after a revision and decodes the
 // response into m. It reports whether there was a change.
 func (c *Client) watch(ctx context.Context, path string, after uint64, wait time.Duration, m proto.Message) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+responseSlack)
-	defer cancel()
+	client := sockets.ProgressClient{
+		HTTP:         c.client(),
+		HeadTimeout:  wait + responseSlack,
+		StallTimeout: responseSlack,
+	}
 	url := fmt.Sprintf("http://%s%s?after=%d&wait=%s", c.Address, path, after, wait)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, eris.Wrap(ErrPlatform, err.Error())
 	}
-	response, err := c.client().Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return false, eris.Wrap(ErrPlatform, err.Error())
 	}
