Deliver the last response of a connection before closing it

Cause: the socket was closed right after a response with "Connection: close". The kernel resets a connection that is closed with unread bytes, and discards what the caller has not yet received.

Change: the connection is closed for writing, and what comes is discarded until the caller closes it, has acknowledged the whole response, or receives nothing for 5 s. Progress is the kernel's count of unacknowledged bytes. The connection counts as open meanwhile, and a planned stop waits for it.

--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -129,6 +129,11 @@
 	return b.Bytes()
 }
 
+// Guard returns the guard of the server's connections.
+func (s *Server) Guard() *sockets.Guard {
+	return s.guard
+}
+
 // Listen returns a listener whose connections are those of l within the limits of the
 // settings. The server is to be run on it.
 func (s *Server) Listen(l net.Listener) net.Listener {
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -83,6 +83,8 @@
 // servers are the HTTP servers for callers, peers and operators.
 type servers struct {
 	callers *http.Server
+	// callerGuard guards the connections of callers.
+	callerGuard *sockets.Guard
 	// endCalls ends the calls in progress.
 	endCalls context.CancelCauseFunc
 	// callerListener is closed before callers, which would not accept the connections
@@ -128,6 +130,7 @@
 	s := &servers{
 		endCalls:       endCalls,
 		callers:        callers.HTTP(),
+		callerGuard:    callers.Guard(),
 		callerListener: l.callers,
 		peers: &http.Server{
 			Handler:           peerServer.Handler(),
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -54,6 +54,7 @@
 			i.common.Log.Warn("closing the listener failed", "error", err)
 		}
 		_ = s.callers.Shutdown(ctx)
+		s.callerGuard.AwaitClosed(ctx)
 		i.peers.SetState(tarragonwell.MemberGone)
 		sleep(ctx, lingerTime)
 	}
--- a/internal/sockets/guard.go
+++ b/internal/sockets/guard.go
@@ -74,6 +74,8 @@
 	// closed since.
 	lastLog  time.Time
 	unlogged int
+	// allClosed is closed when no connection is open; nil if nobody waits for that.
+	allClosed chan struct{}
 
 	closed          [admission.CloseReasons]*metrics.Counter
 	refusedOpen     *metrics.Counter
@@ -123,10 +125,14 @@
 	}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*guardedConn); ok {
-			c.beginRequest(r)
+		c, ok := r.Context().Value(connKey{}).(*guardedConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
 		}
+		c.beginRequest(r)
 		next.ServeHTTP(w, r)
+		c.endHandler()
 	})
 }
 
@@ -202,6 +208,35 @@
 	return g.table.ReceiveTrailer(c.entry, cost)
 }
 
+// beginLinger records that a connection is closed once its caller has received the response.
+func (g *Guard) beginLinger(c *guardedConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.BeginLinger(c.entry, g.options.Clock.Now())
+}
+
+// notifyClosed ends AwaitClosed if no connection is open; g.mu must be held.
+func (g *Guard) notifyClosed() {
+	if g.allClosed != nil && g.table.OpenCount() == 0 {
+		close(g.allClosed)
+		g.allClosed = nil
+	}
+}
+
+// AwaitClosed waits until no connection is open, or until ctx is done. At most one call may wait
+// at a time.
+func (g *Guard) AwaitClosed(ctx context.Context) {
+	closed := make(chan struct{})
+	g.mu.Lock()
+	g.allClosed = closed
+	g.notifyClosed()
+	g.mu.Unlock()
+	select {
+	case <-closed:
+	case <-ctx.Done():
+	}
+}
+
 // closeAll closes connections that were removed from the table.
 func (g *Guard) closeAll(closed []admission.ClosedConnection) {
 	for _, x := range closed {
--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -2,19 +2,23 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"golang.org/x/sys/unix"
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
@@ -23,6 +27,10 @@
 // largeBody is more than the buffers of a connection hold.
 const largeBody = 64 << 20
 
+// lastBody is more than a caller with a small window receives at once, and less than the buffers
+// of a connection hold.
+const lastBody = 540_000
+
 // shiftedClock is the system's clock, set forward.
 type shiftedClock struct {
 	common.SystemClock
@@ -39,7 +47,8 @@
 }
 
 // guardFixture is a server behind a guard. Its handler echoes the body of a request, waits
-// for release before if the path is /wait, or responds with largeBody bytes if it is /large.
+// for release before if the path is /wait, or responds with largeBody bytes if it is /large. If it
+// is /last it waits for release too, and closes the connection after lastBody bytes.
 type guardFixture struct {
 	guard       *Guard
 	clock       shiftedClock
@@ -104,6 +113,13 @@
 			case "/large":
 				_, _ = w.Write(make([]byte, largeBody))
 				return
+			case "/last":
+				f.waiting.Add(1)
+				<-f.release
+				w.Header().Set("Connection", "close")
+				w.Header().Set("Content-Length", strconv.Itoa(lastBody))
+				_, _ = w.Write(make([]byte, lastBody))
+				return
 			}
 			// net/http reads no more of a body once a response has begun.
 			body, err := io.ReadAll(r.Body)
@@ -392,3 +408,99 @@
 		t.Errorf("got %d bytes in %d parts and %v, want %d in several and no error", got, parts, err, want)
 	}
 }
+
+// dialSmallWindow opens a connection with a receive buffer that holds a part of lastBody.
+func dialSmallWindow(t *testing.T, address string) net.Conn {
+	t.Helper()
+	const bufferBytes = 48 << 10
+	d := net.Dialer{
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bufferBytes)
+			})
+		},
+	}
+	conn, err := d.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// TestLastResponseIsDelivered guards against a response that is cut off by a reset, as the
+// connection is closed after it while a further request waits there unread.
+func TestLastResponseIsDelivered(t *testing.T) {
+	for name, x := range map[string]struct {
+		// pause is the time after which the caller begins to read.
+		pause time.Duration
+		// further is sent behind the request.
+		further string
+	}{
+		"further request":       {further: "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"further part":          {further: "GET / HT", pause: 2 * deliveredTimeout},
+		"caller that is slow":   {further: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", pause: 2 * deliveredTimeout},
+		"nothing sent behind":   {},
+		"slow and nothing sent": {pause: 2 * deliveredTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startGuarded(t, 0, 0)
+			conn := dialSmallWindow(t, f.address)
+			fmt.Fprint(conn, "GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+			for f.waiting.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			fmt.Fprint(conn, x.further)
+			close(f.release)
+			time.Sleep(x.pause)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n, err := io.Copy(io.Discard, response.Body)
+			if got, want := n, int64(lastBody); got != want || err != nil {
+				t.Errorf("got %d bytes and error %v, want %d", got, err, want)
+			}
+			// The caller does not close the connection.
+			ctx, cancel := context.WithTimeout(t.Context(), lingerTimeout)
+			defer cancel()
+			f.guard.AwaitClosed(ctx)
+			if ctx.Err() != nil {
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
+
+// TestLingerProgress checks when a connection that is being closed is given up: not while its
+// caller goes on receiving, however slowly.
+func TestLingerProgress(t *testing.T) {
+	const step = lingerTimeout - time.Second
+	for _, x := range []struct {
+		name string
+		// left are the bytes left after each step, and after is the time since the last one.
+		left  []int
+		after time.Duration
+		want  bool
+	}{
+		{name: "slow", left: []int{3, 2, 1}, after: step, want: false},
+		{name: "stopped", left: []int{3, 3}, after: step, want: true},
+		{name: "unknown", left: []int{unsentUnknown, unsentUnknown}, after: step, want: true},
+		{name: "just received", left: []int{3, 0}, after: deliveredTimeout / 2, want: false},
+		{name: "received", left: []int{3, 0}, after: deliveredTimeout, want: true},
+	} {
+		now := time.Now()
+		progress := lingerProgress{
+			since: now,
+			left:  x.left[0],
+		}
+		for _, left := range x.left[1:] {
+			now = now.Add(step)
+			progress.record(now, left)
+		}
+		if got := progress.isOver(now.Add(x.after)); got != x.want {
+			t.Errorf("%s: got %t, want %t", x.name, got, x.want)
+		}
+	}
+}
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -65,12 +66,21 @@
 	http2      bool
 	// handling is set while a request is handled.
 	handling bool
+	// inHandler is set from the start of a request's handler until it returns; it stays set
+	// if the handler panics, which breaks the response off.
+	inHandler bool
+	// wrote is set once a part of a response was written after the connection was last idle.
+	wrote bool
+	// ended is set when the caller sends nothing more: it has closed the connection for
+	// writing, has announced that it closes it, or the connection has failed.
+	ended bool
 }
 
 // Read implements net.Conn.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.receive(p)
 	if n == 0 {
+		c.recordError(err)
 		return n, err
 	}
 	c.mu.Lock()
@@ -95,10 +105,27 @@
 		c.entry.BeginWrite(c.guard.options.Clock.Now())
 		n, err := c.Conn.Write(part)
 		written += n
-		if err != nil || written == len(p) {
+		if err != nil {
+			c.recordError(err)
 			return written, err
 		}
+		if written == len(p) {
+			c.mu.Lock()
+			c.wrote = true
+			c.mu.Unlock()
+			return written, nil
+		}
+	}
+}
+
+// recordError records an error of the socket. A deadline that has passed is none.
+func (c *guardedConn) recordError(err error) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
 	}
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 }
 
 // receive returns pending bytes or, if there are none, bytes of the socket.
@@ -201,11 +228,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling = true
-	if !c.http2 && r.ContentLength != 0 {
+	if c.http2 {
+		return
+	}
+	c.inHandler = true
+	c.ended = c.ended || r.Close
+	if r.ContentLength != 0 {
 		c.body = newBodyScanner(r.ContentLength)
 	}
 }
 
+// endHandler is called when the handler of a request has returned.
+func (c *guardedConn) endHandler() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHandler = false
+}
+
 // setState is called when the state of the connection in net/http changes: it is idle when a
 // response was written whole or, over HTTP/2, when no stream is open.
 func (c *guardedConn) setState(s http.ConnState) {
@@ -213,6 +252,7 @@
 	isHTTP2 := c.http2
 	if s == http.StateIdle {
 		c.handling = false
+		c.wrote = false
 	}
 	c.mu.Unlock()
 	now := c.guard.options.Clock.Now()
@@ -302,11 +342,27 @@
 	SetLinger(seconds int) error
 }
 
-// Close implements net.Conn. It releases what is reserved for the connection.
+// Close implements net.Conn. After a response that closes the connection it returns at once,
+// and the connection is closed when the caller has received the response.
 func (c *guardedConn) Close() error {
+	c.mu.Lock()
+	lingers := c.wrote && !c.inHandler && !c.ended && !c.http2
+	// A second call closes at once.
+	c.ended = true
+	c.mu.Unlock()
+	if !lingers {
+		return c.closeNow()
+	}
+	go c.linger()
+	return nil
+}
+
+// closeNow closes the connection and releases what is reserved for it.
+func (c *guardedConn) closeNow() error {
 	err := c.Conn.Close()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.guard.table.Close(c.entry)
+	c.guard.notifyClosed()
 	return err
 }
--- a/pkg/tarragonwell/admission/connections.go
+++ b/pkg/tarragonwell/admission/connections.go
@@ -263,6 +263,17 @@
 	t.enter(c, stateIdle, now)
 }
 
+// BeginLinger records that the connection is being closed and its caller is still receiving the
+// last response: it counts as one whose write waits for the caller.
+func (t *ConnectionTable) BeginLinger(c *Connection, now time.Time) {
+	if c.state == stateClosed {
+		return
+	}
+	t.releaseHead(c)
+	t.enter(c, stateBusy, now)
+	c.BeginWrite(now)
+}
+
 // Resize changes the memory that is reserved for a connection without its heads, and reports
 // whether there was room. The connection counts as idle until BeginRequest.
 func (t *ConnectionTable) Resize(c *Connection, cost int64, now time.Time) bool {
