Drop no request that was read during a planned stop

Cause: after the wait for the balancer the instance called http.Server.Shutdown; from then on net/http drops each request of which it has just read the head, and it leaves connections without a first request open for 5 s.

Evidence: the new row of TestStopAnswersEveryCall, "first on an unused connection", got status 0 on the code before; its rows whose head is read before the Shutdown pass there.

Change: Guard.Drain closes the connections by a read deadline, which a read either meets or not, so that a request is handled or stays unread. The table of connections decides when.

--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -32,7 +32,8 @@
 // and those that do are answered before it.
 func (i *Instance) shutDown(s *servers) {
 	callsEnd := time.Duration(float64(i.common.Settings.DrainLimit) * answerShare)
-	i.common.Drain.Begin(i.common.Clock.Now().Add(callsEnd))
+	callsEndAt := i.common.Clock.Now().Add(callsEnd)
+	i.common.Drain.Begin(callsEndAt)
 	defer time.AfterFunc(callsEnd, func() { s.endCalls(common.ErrStopping) }).Stop()
 	i.ready.Store(false)
 	i.peers.SetState(tarragonwell.MemberLeaving)
@@ -53,8 +54,9 @@
 		if err := s.callerListener.Close(); err != nil {
 			i.common.Log.Warn("closing the listener failed", "error", err)
 		}
+		s.callerGuard.Drain(ctx, callsEndAt)
+		// Only connections that use HTTP/2 are left.
 		_ = s.callers.Shutdown(ctx)
-		s.callerGuard.AwaitClosed(ctx)
 		i.peers.SetState(tarragonwell.MemberGone)
 		sleep(ctx, lingerTime)
 	}
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -188,8 +188,8 @@
 	return f
 }
 
-// post sends a request whose body is complete after bodyTime. It returns the status, or 0
-// if the connection ends without a response.
+// post sends a request on a new connection, whose body is complete after bodyTime. It returns the
+// status, or 0 if the connection ends without a response.
 func (f *stopFixture) post(t *testing.T, path string, bodyTime time.Duration) int {
 	t.Helper()
 	conn, err := net.Dial("tcp", f.callers)
@@ -198,6 +198,11 @@
 		return 0
 	}
 	defer conn.Close()
+	return postOn(conn, path, bodyTime)
+}
+
+// postOn is post on an open connection.
+func postOn(conn net.Conn, path string, bodyTime time.Duration) int {
 	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na", path)
 	time.Sleep(bodyTime)
 	fmt.Fprint(conn, "b")
@@ -243,6 +248,20 @@
 			t.Errorf("got status %d, want %d", got, want)
 		}
 	})
+	t.Run("first on an unused connection", func(t *testing.T) {
+		t.Parallel()
+		f := startStopFixture(t)
+		conn, err := net.Dial("tcp", f.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		f.stop()
+		time.Sleep(2 * stopBalancerWait)
+		if got, want := postOn(conn, "/x", 0), http.StatusOK; got != want {
+			t.Errorf("got status %d, want %d", got, want)
+		}
+	})
 	t.Run("at work and waiting at the end", func(t *testing.T) {
 		t.Parallel()
 		f := startStopFixture(t)
--- a/internal/sockets/guard.go
+++ b/internal/sockets/guard.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -74,8 +75,12 @@
 	// closed since.
 	lastLog  time.Time
 	unlogged int
-	// allClosed is closed when no connection is open; nil if nobody waits for that.
-	allClosed chan struct{}
+	// http1 is the number of open connections that do not use HTTP/2, and drained is closed
+	// when there are none; nil before a drain.
+	http1   int
+	drained chan struct{}
+	// drainEnd is when no connection waits for a request any more; nil before a drain.
+	drainEnd atomic.Pointer[time.Time]
 
 	closed          [admission.CloseReasons]*metrics.Counter
 	refusedOpen     *metrics.Counter
@@ -175,6 +180,8 @@
 	if entry != nil {
 		entry.Owner = x
 		x.entry = entry
+		x.counted = true
+		g.http1++
 	}
 	g.mu.Unlock()
 	g.closeAll(closed)
@@ -215,28 +222,6 @@
 	g.table.BeginLinger(c.entry, g.options.Clock.Now())
 }
 
-// notifyClosed ends AwaitClosed if no connection is open; g.mu must be held.
-func (g *Guard) notifyClosed() {
-	if g.allClosed != nil && g.table.OpenCount() == 0 {
-		close(g.allClosed)
-		g.allClosed = nil
-	}
-}
-
-// AwaitClosed waits until no connection is open, or until ctx is done. At most one call may wait
-// at a time.
-func (g *Guard) AwaitClosed(ctx context.Context) {
-	closed := make(chan struct{})
-	g.mu.Lock()
-	g.allClosed = closed
-	g.notifyClosed()
-	g.mu.Unlock()
-	select {
-	case <-closed:
-	case <-ctx.Done():
-	}
-}
-
 // closeAll closes connections that were removed from the table.
 func (g *Guard) closeAll(closed []admission.ClosedConnection) {
 	for _, x := range closed {
--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -48,7 +48,8 @@
 
 // guardFixture is a server behind a guard. Its handler echoes the body of a request, waits
 // for release before if the path is /wait, or responds with largeBody bytes if it is /large. If it
-// is /last it waits for release too, and closes the connection after lastBody bytes.
+// is /kept it responds with lastBody bytes; if it is /last too, but waits for release before and
+// closes the connection after them.
 type guardFixture struct {
 	guard       *Guard
 	clock       shiftedClock
@@ -113,6 +114,10 @@
 			case "/large":
 				_, _ = w.Write(make([]byte, largeBody))
 				return
+			case "/kept":
+				w.Header().Set("Content-Length", strconv.Itoa(lastBody))
+				_, _ = w.Write(make([]byte, lastBody))
+				return
 			case "/last":
 				f.waiting.Add(1)
 				<-f.release
@@ -465,7 +470,7 @@
 			// The caller does not close the connection.
 			ctx, cancel := context.WithTimeout(t.Context(), lingerTimeout)
 			defer cancel()
-			f.guard.AwaitClosed(ctx)
+			f.guard.Drain(ctx, time.Now().Add(lingerTimeout))
 			if ctx.Err() != nil {
 				t.Error("the connection is still open")
 			}
@@ -504,3 +509,103 @@
 		}
 	}
 }
+
+// TestDrainDropsNoRequest guards against requests that a stop reads and does not answer, and
+// against responses that it cuts off because a further request arrives.
+func TestDrainDropsNoRequest(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+	// later is when idle connections have been closed.
+	const later = 300 * time.Millisecond
+	for name, x := range map[string]struct {
+		// before and after are sent before the drain and later than its begin.
+		before, after string
+		// want is the number of responses to after.
+		want int
+	}{
+		"unused connection": {after: request, want: 1},
+		"begun head":        {before: request[:10], after: request[10:], want: 1},
+		"idle connection":   {before: request, after: request, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startGuarded(t, 0, 0)
+			conn, err := net.Dial("tcp", f.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			fmt.Fprint(conn, x.before)
+			if x.before == request {
+				expectStatus(t, reader, http.StatusOK)
+			}
+			for f.guard.openCount() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			drained := make(chan struct{})
+			go func() {
+				defer close(drained)
+				f.guard.Drain(t.Context(), time.Now().Add(10*later))
+			}()
+			time.Sleep(later)
+			fmt.Fprint(conn, x.after)
+			for range x.want {
+				expectStatus(t, reader, http.StatusOK)
+			}
+			if _, err := reader.ReadByte(); err == nil {
+				t.Error("got a response that was not expected")
+			}
+			select {
+			case <-drained:
+			case <-time.After(20 * later):
+				t.Error("the drain does not end")
+			}
+		})
+	}
+	t.Run("response that is being received", func(t *testing.T) {
+		t.Parallel()
+		f := startGuarded(t, 0, 0)
+		conn := dialSmallWindow(t, f.address)
+		fmt.Fprint(conn, "GET /kept HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(later)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*later)
+		defer cancel()
+		go f.guard.Drain(ctx, time.Now().Add(10*later))
+		time.Sleep(later)
+		fmt.Fprint(conn, request)
+		time.Sleep(later)
+		reader := bufio.NewReader(conn)
+		for _, want := range []int64{lastBody, 1} {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := io.Copy(io.Discard, response.Body); got != want || err != nil {
+				t.Errorf("got %d bytes and error %v, want %d", got, err, want)
+			}
+		}
+	})
+}
+
+// expectStatus reads a response and checks its status.
+func expectStatus(t *testing.T, reader *bufio.Reader, want int) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Errorf("got error %v, want status %d", err, want)
+		return
+	}
+	if got := response.StatusCode; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Error(err)
+	}
+}
+
+// openCount returns the number of open connections.
+func (g *Guard) openCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.OpenCount()
+}
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -51,6 +51,8 @@
 	guard *Guard
 	// entry is the connection's place in the table, which is guarded by guard.mu.
 	entry *admission.Connection
+	// counted is set while the connection counts in guard.http1, and guarded as that.
+	counted bool
 
 	// mu guards the fields below, but is not held while Read waits for the socket: net/http
 	// reads a single byte while a request without a body is handled.
@@ -71,6 +73,8 @@
 	inHandler bool
 	// wrote is set once a part of a response was written after the connection was last idle.
 	wrote bool
+	// readDeadline is the deadline for reads without that of a drain; zero for none.
+	readDeadline time.Time
 	// ended is set when the caller sends nothing more: it has closed the connection for
 	// writing, has announced that it closes it, or the connection has failed.
 	ended bool
@@ -79,6 +83,9 @@
 // Read implements net.Conn.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.receive(p)
+	for n == 0 && c.awaitsDelivery(err) {
+		n, err = c.receive(p)
+	}
 	if n == 0 {
 		c.recordError(err)
 		return n, err
@@ -89,6 +96,10 @@
 		c.pending = append(bytes.Clone(p[k:n]), c.pending...)
 		err = nil
 	}
+	if c.guard.drainEnd.Load() != nil {
+		// What was received may have begun a request.
+		_ = c.applyReadDeadline()
+	}
 	c.mu.Unlock()
 	if admitErr != nil {
 		return 0, c.refuse(admitErr)
@@ -208,6 +219,7 @@
 		return nil
 	}
 	c.http2 = true
+	c.guard.countHTTP1Closed(c)
 	if !c.guard.table.Resize(c.entry, http2ConnectionCost, now) {
 		return c.outOfMemory()
 	}
@@ -310,14 +322,46 @@
 // body.
 func (c *guardedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	forHead := !c.handling && !c.http2
-	c.mu.Unlock()
 	if extra := c.guard.options.Limits().Timeout - c.guard.options.ServerHeadTimeout; forHead && extra > 0 && time.Until(t) > 0 {
 		t = t.Add(extra)
 	}
+	c.readDeadline = t
+	return c.applyReadDeadline()
+}
+
+// applyReadDeadline sets the earlier one of readDeadline and the deadline of a drain; mu must be
+// held. A read that has returned bytes is never undone by it, so that a connection is closed
+// either before or after a request was received, but not by dropping the request.
+func (c *guardedConn) applyReadDeadline() error {
+	t := c.readDeadline
+	if limit := c.guard.drainDeadline(c); !limit.IsZero() && (t.IsZero() || limit.Before(t)) {
+		t = limit
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// awaitsDelivery reports whether a read has failed because a drain closes the connection while it
+// waits for a request, but has to be repeated: the caller has not yet received the last response,
+// which a further request would cut off once the connection is closed.
+func (c *guardedConn) awaitsDelivery(err error) bool {
+	end := c.guard.drainEnd.Load()
+	if end == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.readDeadline.IsZero() && !now.Before(c.readDeadline) || !now.Before(*end) {
+		return false
+	}
+	if left := unsentBytes(c.Conn); left == 0 || left == unsentUnknown || !c.guard.keepIdle(c) {
+		return false
+	}
+	return c.applyReadDeadline() == nil
+}
+
 // CloseWrite closes the connection for writing. net/http calls it before it closes a
 // connection whose caller may still send.
 func (c *guardedConn) CloseWrite() error {
@@ -363,6 +407,6 @@
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.guard.table.Close(c.entry)
-	c.guard.notifyClosed()
+	c.guard.countHTTP1Closed(c)
 	return err
 }
