Test that no truncated response of a target passes for a whole one

Another operator reported that a target which stopped in the middle of the header of its response and closed made callers get a 200 with an empty or short body, framed as whole. It can't happen here: net/http fails a response whose header ends without the empty line. Found nothing to mend.

--- a/internal/target/send_test.go
+++ b/internal/target/send_test.go
@@ -395,3 +395,57 @@
 		t.Errorf("writes of the second block in place: got %d, want %d", got, want)
 	}
 }
+
+// TestTruncatedResponses guards against a response that breaks off, in its header or in its body,
+// and reaches the caller as a whole one: each truncation has to be an error. Without a length, the
+// end of the connection ends the body, so that only a truncated header can be told.
+func TestTruncatedResponses(t *testing.T) {
+	const (
+		start = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+		body  = "0123456789"
+	)
+	for name, x := range map[string]struct {
+		response string
+		// whole is the number of bytes from which on the response counts as whole.
+		whole int
+	}{
+		"length": {
+			response: start + "Content-Length: 10\r\n\r\n" + body,
+			whole:    len(start + "Content-Length: 10\r\n\r\n" + body),
+		},
+		"chunked": {
+			response: start + "Transfer-Encoding: chunked\r\n\r\na\r\n" + body + "\r\n0\r\n\r\n",
+			whole:    len(start + "Transfer-Encoding: chunked\r\n\r\na\r\n" + body + "\r\n0\r\n\r\n"),
+		},
+		"trailer": {
+			response: start + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\na\r\n" + body + "\r\n0\r\nX: y\r\n\r\n",
+			whole:    len(start + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\na\r\n" + body + "\r\n0\r\nX: y\r\n\r\n"),
+		},
+		"until the connection ends": {
+			response: start + "Connection: close\r\n\r\n" + body,
+			whole:    len(start + "Connection: close\r\n\r\n"),
+		},
+		"after an informational response": {
+			response: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + start + "Content-Length: 10\r\n\r\n" + body,
+			whole:    len("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + start + "Content-Length: 10\r\n\r\n" + body),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for cut := 0; cut <= len(x.response); cut++ {
+				r := startRawTarget(t, func(c net.Conn) {
+					_, _ = io.WriteString(c, x.response[:cut])
+				})
+				target := newClient(t, r.listener.Addr().String())
+				// The raw target truncates its second response on a connection.
+				if err := sendAndRead(target, newCall(http.MethodGet, "", true)); err != nil {
+					t.Fatal(err)
+				}
+				err := sendAndRead(target, newCall(http.MethodGet, "", true))
+				if got, want := err == nil, cut >= x.whole; got != want {
+					t.Errorf("cut after %d bytes, %q: got error %v, want whole %t", cut, x.response[max(0, cut-20):cut], err, want)
+				}
+			}
+		})
+	}
+}
