--- a/internal/sockets/drain.go
+++ b/internal/sockets/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"time"
 )
 
@@ -36,6 +38,37 @@
 	}
 }
 
+// applyReadDeadline sets the earlier one of readDeadline and the deadline of a drain; mu must be
+// held. A read that has returned bytes is never undone by it, so that a connection is closed
+// either before or after a request was received, but not by dropping the request.
+func (c *guardedConn) applyReadDeadline() error {
+	t := c.readDeadline
+	if limit := c.guard.drainDeadline(c); !limit.IsZero() && (t.IsZero() || limit.Before(t)) {
+		t = limit
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// awaitsDelivery reports whether a read has failed because a drain closes the connection while it
+// waits for a request, but has to be repeated: the caller has not yet received the last response,
+// which a further request would cut off once the connection is closed.
+func (c *guardedConn) awaitsDelivery(err error) bool {
+	end := c.guard.drainEnd.Load()
+	if end == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.readDeadline.IsZero() && !now.Before(c.readDeadline) || !now.Before(*end) {
+		return false
+	}
+	if left := unsentBytes(c.Conn); left == 0 || left == unsentUnknown || !c.guard.keepIdle(c) {
+		return false
+	}
+	return c.applyReadDeadline() == nil
+}
+
 // drainDeadline returns when a connection is closed by a drain; zero for not yet.
 func (g *Guard) drainDeadline(c *guardedConn) time.Time {
 	end := g.drainEnd.Load()
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -331,37 +331,6 @@
 	return c.applyReadDeadline()
 }
 
-// applyReadDeadline sets the earlier one of readDeadline and the deadline of a drain; mu must be
-// held. A read that has returned bytes is never undone by it, so that a connection is closed
-// either before or after a request was received, but not by dropping the request.
-func (c *guardedConn) applyReadDeadline() error {
-	t := c.readDeadline
-	if limit := c.guard.drainDeadline(c); !limit.IsZero() && (t.IsZero() || limit.Before(t)) {
-		t = limit
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// awaitsDelivery reports whether a read has failed because a drain closes the connection while it
-// waits for a request, but has to be repeated: the caller has not yet received the last response,
-// which a further request would cut off once the connection is closed.
-func (c *guardedConn) awaitsDelivery(err error) bool {
-	end := c.guard.drainEnd.Load()
-	if end == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	if !c.readDeadline.IsZero() && !now.Before(c.readDeadline) || !now.Before(*end) {
-		return false
-	}
-	if left := unsentBytes(c.Conn); left == 0 || left == unsentUnknown || !c.guard.keepIdle(c) {
-		return false
-	}
-	return c.applyReadDeadline() == nil
-}
-
 // CloseWrite closes the connection for writing. net/http calls it before it closes a
 // connection whose caller may still send.
 func (c *guardedConn) CloseWrite() error {
@@ -385,28 +354,3 @@
 type lingerer interface {
 	SetLinger(seconds int) error
 }
-
-// Close implements net.Conn. After a response that closes the connection it returns at once,
-// and the connection is closed when the caller has received the response.
-func (c *guardedConn) Close() error {
-	c.mu.Lock()
-	lingers := c.wrote && !c.inHandler && !c.ended && !c.http2
-	// A second call closes at once.
-	c.ended = true
-	c.mu.Unlock()
-	if !lingers {
-		return c.closeNow()
-	}
-	go c.linger()
-	return nil
-}
-
-// closeNow closes the connection and releases what is reserved for it.
-func (c *guardedConn) closeNow() error {
-	err := c.Conn.Close()
-	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
-	c.guard.table.Close(c.entry)
-	c.guard.countHTTP1Closed(c)
-	return err
-}
--- a/internal/sockets/linger.go
+++ b/internal/sockets/linger.go
@@ -25,6 +25,31 @@
 	lingerReadBytes = 4 << 10
 )
 
+// Close implements net.Conn. After a response that closes the connection it returns at once,
+// and the connection is closed when the caller has received the response.
+func (c *guardedConn) Close() error {
+	c.mu.Lock()
+	lingers := c.wrote && !c.inHandler && !c.ended && !c.http2
+	// A second call closes at once.
+	c.ended = true
+	c.mu.Unlock()
+	if !lingers {
+		return c.closeNow()
+	}
+	go c.linger()
+	return nil
+}
+
+// closeNow closes the connection and releases what is reserved for it.
+func (c *guardedConn) closeNow() error {
+	err := c.Conn.Close()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.table.Close(c.entry)
+	c.guard.countHTTP1Closed(c)
+	return err
+}
+
 // linger closes a connection after its last response: first for writing and, once the caller has
 // received the response, altogether. Meanwhile it discards what the caller sends: requests behind
 // a response that closes the connection are not answered, and the kernel would reset the
