Give the listeners of the stop tests addresses of their own process

Beside 60 to 200 copies of the test at once, 4 of 1,280 runs could not bind a port that freeAddress had just found free: a connection of another process had taken it. Each process now uses a loopback address of its own.

--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -93,10 +94,12 @@
 	}, nil
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+// freeAddress returns a loopback address on which nothing listens. Its IP address is that of the
+// test's process, so that no connection or listener of another process takes the port meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16%64, pid>>8%256, pid%256))
 	if err != nil {
 		t.Fatal(err)
 	}
