--- a/internal/instance/fetch_test.go
+++ b/internal/instance/fetch_test.go
@@ -290,12 +290,14 @@
 }
 
 // TestLargeRulesOverSlowLinkFromPeer guards against an instance that never gets the rules from
-// its peers, as the largest rules take longer over a peer's link than a response could take.
+// its peers, as large rules take longer over a peer's link than a response could take.
 func TestLargeRulesOverSlowLinkFromPeer(t *testing.T) {
 	const (
-		bytesPerSecond = 10e6 / 8
-		// rulesBytes is the largest value of the prepared platform's store.
-		rulesBytes = 1 << 20
+		// bytesPerSecond is the share of one of four fetches over a link of 10 Mbit/s.
+		bytesPerSecond = 10e6 / 8 / 4
+		rulesBytes     = 256 << 10
+		// wait is longer than the fetch takes on a busy machine: it is never repeated.
+		wait = 10 * time.Second
 	)
 	for name, hint := range map[string]func(i *Instance, from string, store *fakeStore){
 		"list": func(i *Instance, from string, store *fakeStore) {
@@ -317,7 +319,7 @@
 			reader.read(t)
 			other := startFetchFixture(t, store)
 			hint(other.Instance, reader.servePeers(t), store)
-			for begin := time.Now(); time.Since(begin) < fetchWait && other.rulesContent() == ""; {
+			for begin := time.Now(); time.Since(begin) < wait && other.rulesContent() == ""; {
 				time.Sleep(time.Millisecond)
 			}
 			if got := len(other.rulesContent()); got != rulesBytes {
