Judge the hand-over of operations by its progress

What callers would see: operations that must not run twice are lost at a planned stop, and their tickets get an unknown outcome.

Each attempt at a hand-over had 2 s in all, whatever its size, and the next began anew. The prepared platform is not concerned, as no tickets are offered there.

Change: the request has to go on being sent, and the response to begin within 2 s of its last part (sockets.ProgressClient).

--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	handOverTimeout = 2 * time.Second
-	handOverRetries = 10
+	handOverRetries    = 10
+	handOverRetryDelay = 200 * time.Millisecond
 	// drainShare is the part of the drain limit after which the instance exits by
 	// itself, so that it isn't killed when the limit is reached.
 	drainShare = 0.95
@@ -122,9 +122,7 @@
 func (i *Instance) tryHandOver(ctx context.Context, m tarragonwell.Member, h tarragonwell.OperationHandOver) (accepted, known bool) {
 	maybeAccepted := false
 	for range handOverRetries {
-		attempt, cancel := context.WithTimeout(ctx, handOverTimeout)
-		err := i.peers.HandOver(attempt, m, h)
-		cancel()
+		err := i.peers.HandOver(ctx, m, h)
 		switch {
 		case err == nil:
 			return true, true
@@ -136,7 +134,7 @@
 			maybeAccepted = true
 		}
 		i.common.Log.Warn("hand-over failed", "peer", m.PeerAddress, "error", err)
-		sleep(ctx, handOverTimeout/handOverRetries)
+		sleep(ctx, handOverRetryDelay)
 	}
 	return false, false
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -35,6 +35,9 @@
 	// pause in it. It is short, because an instance fetches from one peer at a time and an
 	// unresponsive peer must not delay data that other peers have.
 	fetchTimeout = 600 * time.Millisecond
+	// handOverTimeout bounds the time until a peer responds to a hand-over, and a pause while it
+	// is sent.
+	handOverTimeout = 2 * time.Second
 	// refreshBytes is an estimate of the size of an exchange in both directions.
 	refreshBytes = 1 << 10
 )
@@ -89,9 +92,10 @@
 		connect.WithReadMaxBytes(maxMessageBytes))
 }
 
-// fetchClient is serviceClient for responses that may be large. They have to begin within the
-// timeout and then to go on arriving; the whole response has no time limit.
-func (p *Peers) fetchClient(address string, timeout time.Duration) tarragonwellv1connect.PeerServiceClient {
+// progressClient is serviceClient for requests or responses that may be large. The request has to
+// go on being sent, and the response to begin within the timeout and then to go on arriving; as a
+// whole they have no time limit.
+func (p *Peers) progressClient(address string, timeout time.Duration) tarragonwellv1connect.PeerServiceClient {
 	client := sockets.ProgressClient{
 		HTTP:         p.client,
 		HeadTimeout:  timeout,
@@ -114,7 +118,7 @@
 // FetchRules returns the rules that a peer has in force. The error wraps
 // ErrRequestFailed.
 func (p *Peers) FetchRules(ctx context.Context, address string) (*tarragonwell.PublishedRules, error) {
-	response, err := p.fetchClient(address, fetchTimeout).FetchRules(ctx, connect.NewRequest(&pb.FetchRulesRequest{}))
+	response, err := p.progressClient(address, fetchTimeout).FetchRules(ctx, connect.NewRequest(&pb.FetchRulesRequest{}))
 	if err != nil {
 		return nil, eris.Wrap(ErrRequestFailed, err.Error())
 	}
@@ -126,7 +130,7 @@
 // ErrRequestFailed.
 func (p *Peers) FetchList(ctx context.Context, address string, since uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
 	var none tarragonwell.PlatformUpdate
-	response, err := p.fetchClient(address, fetchTimeout).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{
+	response, err := p.progressClient(address, fetchTimeout).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{
 		Since: since,
 		Rules: versionToProto(rules),
 	}))
@@ -177,7 +181,7 @@
 // ErrDeclined or ErrRequestFailed. With the last, the successor may have taken the
 // operations over.
 func (p *Peers) HandOver(ctx context.Context, to tarragonwell.Member, h tarragonwell.OperationHandOver) error {
-	_, err := p.serviceClient(to.PeerAddress).HandOver(ctx, connect.NewRequest(handOverToProto(h, to.Incarnation)))
+	_, err := p.progressClient(to.PeerAddress, handOverTimeout).HandOver(ctx, connect.NewRequest(handOverToProto(h, to.Incarnation)))
 	switch {
 	case err == nil:
 		return nil
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -64,7 +64,7 @@
 
 // requestMembers requests all member records of a peer. The error wraps ErrRequestFailed.
 func (p *Peers) requestMembers(ctx context.Context, address string) (*pb.FetchMembersResponse, error) {
-	response, err := p.fetchClient(address, memberFetchTimeout).FetchMembers(ctx, connect.NewRequest(&pb.FetchMembersRequest{}))
+	response, err := p.progressClient(address, memberFetchTimeout).FetchMembers(ctx, connect.NewRequest(&pb.FetchMembersRequest{}))
 	if err != nil {
 		return nil, eris.Wrap(ErrRequestFailed, err.Error())
 	}
--- a/internal/sockets/progress_client.go
+++ b/internal/sockets/progress_client.go
@@ -20,12 +20,13 @@
 	ErrStalled = eris.New("the response has stalled")
 )
 
-// ProgressClient makes HTTP requests whose time limits depend on the progress of the response
-// and not on its size, so that a large response over a slow link is not given up.
+// ProgressClient makes HTTP requests whose time limits depend on the progress of the request and
+// of the response and not on their sizes, so that large ones over a slow link are not given up.
 type ProgressClient struct {
 	// HTTP makes the requests; its Timeout must be 0.
 	HTTP *http.Client
-	// HeadTimeout bounds the time from the request to the end of the response's header.
+	// HeadTimeout bounds the time from the request, or from when the last part of its body was
+	// passed on, to the end of the response's header.
 	HeadTimeout time.Duration
 	// StallTimeout bounds the time in which minProgressBytes of the body, or its end, arrive.
 	StallTimeout time.Duration
@@ -37,7 +38,15 @@
 func (c ProgressClient) Do(r *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	limit := time.AfterFunc(c.HeadTimeout, func() { cancel(ErrNoResponse) })
-	response, err := c.HTTP.Do(r.WithContext(ctx))
+	r = r.WithContext(ctx)
+	if r.Body != nil && r.Body != http.NoBody {
+		r.Body = &progressRequestBody{
+			ReadCloser: r.Body,
+			timeout:    c.HeadTimeout,
+			limit:      limit,
+		}
+	}
+	response, err := c.HTTP.Do(r)
 	if err != nil {
 		limit.Stop()
 		err = orCause(ctx, err)
@@ -56,6 +65,24 @@
 	return response, nil
 }
 
+// progressRequestBody is the body of a request. It is read as the peer takes it in, except for
+// what the buffers on the way hold.
+type progressRequestBody struct {
+	io.ReadCloser
+	timeout time.Duration
+	limit   *time.Timer
+}
+
+// Read implements io.Reader.
+func (b *progressRequestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	// A limit that has passed, or that the response has ended, stays so.
+	if n > 0 && b.limit.Stop() {
+		b.limit.Reset(b.timeout)
+	}
+	return n, err
+}
+
 // progressBody is the body of a response whose request is cancelled if too few bytes arrive.
 type progressBody struct {
 	io.ReadCloser
--- a/test/standin/link/link.go
+++ b/test/standin/link/link.go
@@ -10,14 +10,13 @@
 // chunkBytes is what a connection sends before others get their turn.
 const chunkBytes = 16 << 10
 
-// Listener bounds the bandwidth of what its connections send, all together.
+// Listener bounds the bandwidth of its connections, all together, in each direction.
 type Listener struct {
 	net.Listener
 	BytesPerSecond float64
 
-	mu sync.Mutex
-	// free is when the bytes that were sent so far will have passed.
-	free time.Time
+	sent     direction
+	received direction
 }
 
 // Accept implements net.Listener.
@@ -32,15 +31,22 @@
 	}, nil
 }
 
-// pass returns when n more bytes have passed the link.
-func (l *Listener) pass(n int) {
-	l.mu.Lock()
-	if now := time.Now(); l.free.Before(now) {
-		l.free = now
+// direction is one direction of a link.
+type direction struct {
+	mu sync.Mutex
+	// free is when the bytes that were passed so far will have arrived.
+	free time.Time
+}
+
+// pass returns when n more bytes have arrived.
+func (d *direction) pass(n int, bytesPerSecond float64) {
+	d.mu.Lock()
+	if now := time.Now(); d.free.Before(now) {
+		d.free = now
 	}
-	l.free = l.free.Add(time.Duration(float64(n) / l.BytesPerSecond * float64(time.Second)))
-	end := l.free
-	l.mu.Unlock()
+	d.free = d.free.Add(time.Duration(float64(n) / bytesPerSecond * float64(time.Second)))
+	end := d.free
+	d.mu.Unlock()
 	time.Sleep(time.Until(end))
 }
 
@@ -50,12 +56,19 @@
 	link *Listener
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), chunkBytes)])
+	c.link.received.pass(n, c.link.BytesPerSecond)
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
 		part := p[written:min(len(p), written+chunkBytes)]
-		c.link.pass(len(part))
+		c.link.sent.pass(len(part), c.link.BytesPerSecond)
 		n, err := c.Conn.Write(part)
 		written += n
 		if err != nil {
