--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -88,8 +88,7 @@
 
 // serviceClient returns a client for the peer service at an address.
 func (p *Peers) serviceClient(address string) tarragonwellv1connect.PeerServiceClient {
-	return tarragonwellv1connect.NewPeerServiceClient(p.client, "http://"+address,
-		connect.WithReadMaxBytes(maxMessageBytes))
+	return newServiceClient(p.client, address)
 }
 
 // progressClient is serviceClient for requests or responses that may be large. The request has to
@@ -101,6 +100,10 @@
 		HeadTimeout:  timeout,
 		StallTimeout: timeout,
 	}
+	return newServiceClient(client, address)
+}
+
+func newServiceClient(client connect.HTTPClient, address string) tarragonwellv1connect.PeerServiceClient {
 	return tarragonwellv1connect.NewPeerServiceClient(client, "http://"+address,
 		connect.WithReadMaxBytes(maxMessageBytes))
 }
