--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -260,7 +260,7 @@
 		}
 		defer conn.Close()
 		f.stop()
-		time.Sleep(2 * stopBalancerWait)
+		time.Sleep(3 * stopBalancerWait / 2)
 		if got, want := postOn(conn, "/x", 0), http.StatusOK; got != want {
 			t.Errorf("got status %d, want %d", got, want)
 		}
--- a/internal/sockets/drain_test.go
+++ b/internal/sockets/drain_test.go
@@ -58,7 +58,11 @@
 				defer close(drained)
 				f.guard.Drain(t.Context(), time.Now().Add(10*later))
 			}()
-			time.Sleep(later)
+			if x.want == 0 {
+				<-drained
+			} else {
+				time.Sleep(later)
+			}
 			fmt.Fprint(conn, x.after)
 			for range x.want {
 				expectStatus(t, reader, http.StatusOK)
