End no response by a reset that only a write has learnt of

What callers saw: a target responds to a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written; the caller gets that part as a complete response.

Cause: the kernel reports a reset only once. If the write that is in progress gets the report, reads return 0 bytes, as at the end that a target itself sends, and without a length that end completes the response.

Change: a connection to a target remembers that a write has failed, and its reads then return that error in place of the end of the stream. Before, the write in progress is ended: no response can follow. This works because a read can only return the end without the target's own if a write has got the report already, and because after the target's own end the kernel reports EPIPE, which is not counted.

Conclusion: the fault is the product's and is fixed on the one path that reads responses of targets, probes included. The store's requests have no body and peers speak HTTP/2, so that they don't have it.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -1,9 +1,12 @@
 package target
 
 import (
+	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,9 +19,15 @@
 var errDeadlinePassed = eris.New("the deadline passed before the call was written")
 
 // trackedConn is a connection that counts writes, which shows whether a byte of a call
-// can have reached the target, and rejects writes after the call's deadline.
+// can have reached the target, and rejects writes after the call's deadline. Its stream ends
+// with io.EOF only if the target has ended it.
 type trackedConn struct {
 	net.Conn
+	// writing is held during a write.
+	writing sync.Mutex
+	// failure is the error by which a write learnt that the connection has failed; nil for
+	// none. It is guarded by writing.
+	failure error
 	// writes is the number of writes that were attempted.
 	writes atomic.Uint64
 	// callDeadline is the deadline of the current call on the monotonic clock, in
@@ -67,7 +76,46 @@
 		return 0, errDeadlinePassed
 	}
 	c.writes.Add(1)
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.failure == nil && isConnectionFailure(err) {
+		c.failure = err
+	}
+	return n, err
+}
+
+// isConnectionFailure reports whether a write failed because the connection has, for example
+// by a reset. EPIPE does not tell: it also follows a reset after the target has ended its stream.
+func isConnectionFailure(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
+// Read implements net.Conn. The kernel reports the failure of a connection only once. If a write
+// has got that report, the kernel ends the stream as if the target had, so that a response without
+// a length would look complete. Read then returns the error of the write.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		if failure := c.writeFailure(); failure != nil {
+			err = failure
+		}
+	}
+	return n, err
+}
+
+// writeFailure returns the error by which a write learnt that the connection has failed, if one
+// did. It is called at the end of the stream: no response can follow, so that a write for which
+// the target makes no room is ended.
+func (c *trackedConn) writeFailure() error {
+	if !c.writing.TryLock() {
+		// The error is that of a closed connection, which has no writes in progress.
+		_ = c.Conn.SetWriteDeadline(time.Now())
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	return c.failure
 }
 
 // ReadFrom implements io.ReaderFrom. The transport writes a body with it, within the length
