Pass on no response whose status line is no HTTP

What callers saw: for a target's status 000 a closed connection without a response, and with a ticket a 503 with the outcome complete. The statuses 101 and 999 reached them as the target's response.

Cause: net/http accepts any three characters that parse as a number of at least 0, any version of one digit each, and a switch of protocols that the request does not ask for. Nothing checked the head after it, and writing the status 000 panics.

On the code before, TestHeads fails for the statuses 000, 099, 600, +20 and 101, for 000 after an informational response, for two blanks before the status and for HTTP/2.0, on calls and on probes.

Change: connections to targets check the bytes of each head before net/http parses them. A malformed status line fails the read, so that the attempt may have run, also if its fields say that the target refused it; the target counts as failing, and the connection is closed. All responses of targets come by these connections: those of retries, hedges, resumed downloads and probes too. The first bytes on a new connection are checked as well.

--- a/internal/target/broken_response_test.go
+++ b/internal/target/broken_response_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +11,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/tarragonwell/tarragonwell/internal/common"
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 )
 
 // startServer passes each connection to a function, until the test ends, and returns its address.
@@ -156,3 +160,108 @@
 		}
 	}
 }
+
+// probeOnce sends a probe to a server that sends the response, and returns the error of the probe.
+func probeOnce(t *testing.T, response string) error {
+	t.Helper()
+	address := startServer(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
+		}
+	})
+	reports := make(chan ProbeReport, 1)
+	cl := New(Options{
+		Common: &common.Dependencies{
+			Clock: common.SystemClock{},
+		},
+		Listed: tarragonwell.ListedTarget{
+			Address: address,
+		},
+		Report: func(r ProbeReport) { reports <- r },
+	})
+	t.Cleanup(cl.closeIdleConnections)
+	cl.ProbeForPlacement(context.Background())
+	return (<-reports).Err
+}
+
+// TestHeads guards against responses with a malformed head, which callers would get as responses
+// of the target. One on a kept connection has to be an error of a call that may have run, one on
+// a new connection that of a probe.
+func TestHeads(t *testing.T) {
+	const (
+		ok     = "HTTP/1.1 200 OK\r\n"
+		fields = "Content-Length: 2\r\n"
+		body   = "\r\n{}"
+	)
+	for name, x := range map[string]struct {
+		response string
+		valid    bool
+	}{
+		"valid": {
+			response: ok + fields + body,
+			valid:    true,
+		},
+		"valid with HTTP/1.0": {
+			response: "HTTP/1.0 200 OK\r\n" + fields + body,
+			valid:    true,
+		},
+		"valid without a reason": {
+			response: "HTTP/1.1 200\r\n" + fields + body,
+			valid:    true,
+		},
+		"valid after informational responses": {
+			response: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + fields + body,
+			valid:    true,
+		},
+		"highest status": {
+			response: "HTTP/1.1 599 Fail\r\n" + fields + body,
+			valid:    true,
+		},
+		"status 000": {
+			response: "HTTP/1.1 000 OK\r\n" + fields + body,
+		},
+		"refusal with status 000": {
+			response: "HTTP/1.1 000 Busy\r\n" + HeaderNotRun + ": shed\r\n" + fields + body,
+		},
+		"status below 100": {
+			response: "HTTP/1.1 099 OK\r\n" + fields + body,
+		},
+		"status above 599": {
+			response: "HTTP/1.1 600 OK\r\n" + fields + body,
+		},
+		"status with a sign": {
+			response: "HTTP/1.1 +20 OK\r\n" + fields + body,
+		},
+		"status 000 after an informational response": {
+			response: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + fields + body,
+		},
+		"protocol switch that nobody asked for": {
+			response: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n" + fields + body,
+		},
+		"two blanks before the status": {
+			response: "HTTP/1.1  200 OK\r\n" + fields + body,
+		},
+		"other major version": {
+			response: "HTTP/2.0 200 OK\r\n" + fields + body,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			raw := startRawTarget(t, func(c net.Conn) { _, _ = io.WriteString(c, x.response) })
+			cl := newClient(t, raw.listener.Addr().String())
+			if err := sendAndRead(cl, newCall(http.MethodGet, "", true)); err != nil {
+				t.Fatal(err)
+			}
+			err := sendAndRead(cl, newCall(http.MethodGet, "", true))
+			if x.valid && err != nil {
+				t.Errorf("call: got %v, want no error", err)
+			}
+			var e *tarragonwell.AttemptError
+			if !x.valid && (!errors.As(err, &e) || e.Stage != tarragonwell.StageSent) {
+				t.Errorf("call: got %v, want an AttemptError with StageSent", err)
+			}
+			if err := probeOnce(t, x.response); (err == nil) != x.valid {
+				t.Errorf("probe: got error %v, want valid %t", err, x.valid)
+			}
+		})
+	}
+}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -30,6 +30,10 @@
 	failure error
 	// writes is the number of writes that were attempted.
 	writes atomic.Uint64
+	// headMutex guards head.
+	headMutex sync.Mutex
+	// head checks the response to the current call.
+	head responseHead
 	// callDeadline is the deadline of the current call on the monotonic clock, in
 	// nanoseconds since processStart; 0 if there is none.
 	callDeadline atomic.Int64
@@ -45,15 +49,23 @@
 // processStart is the reference time for monotonic times in this process.
 var processStart = time.Now()
 
-// setCallDeadline sets the deadline for the writes of the next call, and for the first of
-// them unless firstWriteBy is zero. It returns the number of writes so far.
-func (c *trackedConn) setCallDeadline(deadline, firstWriteBy time.Time) uint64 {
+// beginCall prepares the connection for the next call: it awaits the head of a response, and sets
+// the deadline for the writes, and for the first of them unless firstWriteBy is zero. It returns
+// the number of writes so far.
+func (c *trackedConn) beginCall(deadline, firstWriteBy time.Time) uint64 {
+	writes := c.writes.Load()
+	// On a new connection, the target may have begun its first response already.
+	if writes > 0 {
+		c.headMutex.Lock()
+		c.head = responseHead{}
+		c.headMutex.Unlock()
+	}
 	c.callDeadline.Store(int64(deadline.Sub(processStart)))
 	c.firstWriteBy.Store(0)
 	if !firstWriteBy.IsZero() {
 		c.firstWriteBy.Store(int64(firstWriteBy.Sub(processStart)))
 	}
-	return c.writes.Load()
+	return writes
 }
 
 // Close implements net.Conn.
@@ -92,11 +104,16 @@
 	return errors.As(err, &errno) && errno != syscall.EPIPE
 }
 
-// Read implements net.Conn. The kernel reports the failure of a connection only once. If a write
-// has got that report, the kernel ends the stream as if the target had, so that a response without
-// a length would look complete. Read then returns the error of the write.
+// Read implements net.Conn. It fails at the first line of a head that is malformed.
+//
+// The kernel reports the failure of a connection only once. If a write has got that report, the
+// kernel ends the stream as if the target had, so that a response without a length would look
+// complete. Read then returns the error of the write.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if headErr := c.scanHead(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if err == io.EOF {
 		if failure := c.writeFailure(); failure != nil {
 			err = failure
@@ -105,6 +122,13 @@
 	return n, err
 }
 
+// scanHead checks the bytes that belong to the head of a response.
+func (c *trackedConn) scanHead(p []byte) error {
+	c.headMutex.Lock()
+	defer c.headMutex.Unlock()
+	return c.head.scan(p)
+}
+
 // writeFailure returns the error by which a write learnt that the connection has failed, if one
 // did. It is called at the end of the stream: no response can follow, so that a write for which
 // the target makes no room is ended.
--- a/internal/target/send.go
+++ b/internal/target/send.go
@@ -61,7 +61,7 @@
 			w.reused = info.Reused
 			w.conn, _ = info.Conn.(*trackedConn)
 			if w.conn != nil {
-				w.writesBefore = w.conn.setCallDeadline(c.Deadline, c.SendBefore)
+				w.writesBefore = w.conn.beginCall(c.Deadline, c.SendBefore)
 			}
 		},
 	})
@@ -80,6 +80,8 @@
 		Err:    err,
 	}
 	switch {
+	case errors.Is(err, errMalformedHead):
+		e.Reason = "the target sent a malformed response"
 	case errors.Is(err, errDeadlinePassed):
 		e.Reason = "the deadline passed before the call was sent"
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/target/send_test.go
+++ b/internal/target/send_test.go
@@ -219,7 +219,7 @@
 	c := &trackedConn{
 		Conn: a,
 	}
-	writesBefore := c.setCallDeadline(time.Now().Add(-time.Nanosecond), time.Time{})
+	writesBefore := c.beginCall(time.Now().Add(-time.Nanosecond), time.Time{})
 	_, err := c.Write([]byte("x"))
 	if got, want := errors.Is(err, errDeadlinePassed), true; got != want {
 		t.Errorf("got %v", err)
@@ -331,11 +331,11 @@
 		Conn: a,
 	}
 	later := time.Now().Add(time.Hour)
-	c.setCallDeadline(later, time.Now().Add(-time.Nanosecond))
+	c.beginCall(later, time.Now().Add(-time.Nanosecond))
 	if _, err := c.Write([]byte("x")); !errors.Is(err, errDeadlinePassed) {
 		t.Errorf("begun late: got %v, want errDeadlinePassed", err)
 	}
-	c.setCallDeadline(later, time.Now().Add(20*time.Millisecond))
+	c.beginCall(later, time.Now().Add(20*time.Millisecond))
 	if _, err := c.Write([]byte("x")); err != nil {
 		t.Errorf("begun in time: got %v, want no error", err)
 	}
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -219,14 +219,14 @@
 	})
 }
 
-// withProbeDeadline returns a context that sets its deadline on the connection that a probe
-// uses: that of the call before, which the connection still has, is usually over.
+// withProbeDeadline returns a context that prepares the connection which a probe uses and sets the
+// probe's deadline on it: that of the call before, which the connection still has, is usually over.
 func withProbeDeadline(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			deadline, ok := ctx.Deadline()
 			if c, tracked := info.Conn.(*trackedConn); tracked && ok {
-				c.setCallDeadline(deadline, time.Time{})
+				c.beginCall(deadline, time.Time{})
 			}
 		},
 	})
