Pass on no response with malformed fields in its head

What callers saw: a target writes a blank into the name of a field, such as "Content-Length : 5" or "Transfer-Encoding : chunked", and the caller gets a complete response whose body is not the target's: the bytes behind its length belong to it, or the sizes of its chunks.

Cause: net/http keeps names with a blank as they are, so that the length or the coding has no effect and the end of the connection ends the body. The same effect has a line that begins with a blank, which continues the field before, and a transfer coding with HTTP/1.0, which is ignored.

TestHeads on the code before fails for blanks in and before names, blank lines, and chunks with HTTP/1.0, on calls; but for the two rows with chunks, whose body then is no JSON, on probes too. Its rows with control bytes, bytes above ASCII and empty names passed before: net/http rejects those.

Change: the check of the bytes of each head covers its fields. A name has to be a token directly before the colon.

--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,8 @@
 FUZZ_TIME ?= 30s
 FUZZ_TARGETS = pkg/rulesfile:FuzzParse pkg/settingsfile:FuzzParse \
 	platform:FuzzDecodeTarget platform:FuzzPage platform:FuzzConfiguration platform:FuzzResponseHeader \
-	internal/peer:FuzzExchange internal/peer:FuzzListChange internal/peer:FuzzOperate
+	internal/peer:FuzzExchange internal/peer:FuzzListChange internal/peer:FuzzOperate \
+	internal/target:FuzzResponseHead
 
 fuzz:
 	@for t in $(FUZZ_TARGETS); do \
--- a/internal/target/broken_response_test.go
+++ b/internal/target/broken_response_test.go
@@ -217,6 +217,10 @@
 			response: "HTTP/1.1 599 Fail\r\n" + fields + body,
 			valid:    true,
 		},
+		"valid fields of all sorts": {
+			response: ok + "!#$%&'*+-.^_`|~09azAZ: a\tb\xe9\nX:\r\n" + fields + body,
+			valid:    true,
+		},
 		"status 000": {
 			response: "HTTP/1.1 000 OK\r\n" + fields + body,
 		},
@@ -244,6 +248,57 @@
 		"other major version": {
 			response: "HTTP/2.0 200 OK\r\n" + fields + body,
 		},
+		"length with a blank before the colon": {
+			response: ok + "Content-Length : 2\r\n" + body,
+		},
+		"chunks with a blank before the colon": {
+			response: ok + "Transfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		},
+		"blank in a name": {
+			response: ok + "X Y: 1\r\n" + fields + body,
+		},
+		"tab in a name": {
+			response: ok + "X\tY: 1\r\n" + fields + body,
+		},
+		"control byte in a name": {
+			response: ok + "X\x01Y: 1\r\n" + fields + body,
+		},
+		"null byte before the colon": {
+			response: ok + "X\x00: 1\r\n" + fields + body,
+		},
+		"carriage return in a name": {
+			response: ok + "X\rY: 1\r\n" + fields + body,
+		},
+		"byte above ASCII in a name": {
+			response: ok + "X\xe9: 1\r\n" + fields + body,
+		},
+		"empty name": {
+			response: ok + ": 1\r\n" + fields + body,
+		},
+		"no colon": {
+			response: ok + "X\r\n" + fields + body,
+		},
+		"blank before the first name": {
+			response: ok + " X: 1\r\n" + fields + body,
+		},
+		"blank before a name": {
+			response: ok + "X: 1\r\n " + fields + body,
+		},
+		"tab before a name": {
+			response: ok + "X: 1\r\n\t" + fields + body,
+		},
+		"line of blanks": {
+			response: ok + fields + "  \r\n" + body,
+		},
+		"control byte in a value": {
+			response: ok + "X: a\x01b\r\n" + fields + body,
+		},
+		"blank in a name of an informational response": {
+			response: "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + ok + fields + body,
+		},
+		"chunks with HTTP/1.0": {
+			response: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			raw := startRawTarget(t, func(c net.Conn) { _, _ = io.WriteString(c, x.response) })
--- a/internal/target/response_head.go
+++ b/internal/target/response_head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -28,6 +29,8 @@
 	line []byte
 	// inFields is set after the status line of the current head.
 	inFields bool
+	// minor is the digit of the current head's minor version.
+	minor byte
 	// informational is set if the current head is that of an informational response, which
 	// another head follows.
 	informational bool
@@ -60,35 +63,68 @@
 func (h *responseHead) endLine(line []byte) error {
 	switch {
 	case !h.inFields:
-		status, err := parseStatusLine(line)
+		status, minor, err := parseStatusLine(line)
 		if err != nil {
 			return err
 		}
+		h.minor = minor
 		h.informational = status < http.StatusOK
 		h.inFields = true
 	case len(line) == 0:
 		h.ended = !h.informational
 		h.inFields = false
+	default:
+		return h.checkField(line)
 	}
 	return nil
 }
 
-// parseStatusLine returns the status of a status line.
-func parseStatusLine(line []byte) (int, error) {
+// parseStatusLine returns the status of a status line and the digit of its minor version.
+func parseStatusLine(line []byte) (status int, minor byte, err error) {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
-	minor, ok := bytes.CutPrefix(version, []byte(versionPrefix))
-	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
-		return 0, eris.Wrapf(errMalformedHead, "version %s", quoteBounded(string(version)))
+	digit, ok := bytes.CutPrefix(version, []byte(versionPrefix))
+	if !ok || len(digit) != 1 || !isDigit(digit[0]) {
+		return 0, 0, eris.Wrapf(errMalformedHead, "version %s", quoteBounded(string(version)))
 	}
-	digits, _, _ := bytes.Cut(rest, []byte{' '})
-	status, err := strconv.Atoi(string(digits))
-	if err != nil || len(digits) != statusDigits || status < http.StatusContinue || status > maxStatus {
-		return 0, eris.Wrapf(errMalformedHead, "status %s", quoteBounded(string(digits)))
+	code, _, _ := bytes.Cut(rest, []byte{' '})
+	status, err = strconv.Atoi(string(code))
+	if err != nil || len(code) != statusDigits || status < http.StatusContinue || status > maxStatus {
+		return 0, 0, eris.Wrapf(errMalformedHead, "status %s", quoteBounded(string(code)))
 	}
 	if status == http.StatusSwitchingProtocols {
-		return 0, eris.Wrap(errMalformedHead, "switch of protocols that no call asks for")
+		return 0, 0, eris.Wrap(errMalformedHead, "switch of protocols that no call asks for")
 	}
-	return status, nil
+	return status, digit[0], nil
+}
+
+// checkField checks the line of a field. Its name has to be a token, directly before the colon: a
+// field by which the body is framed would otherwise be read as another one. That includes lines
+// that begin with a blank, which continue the line before; gateways may reject them (RFC 9112,
+// section 5.2). The bytes of values are checked by net/http.
+func (h *responseHead) checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte{':'})
+	if !found || !isToken(name) {
+		return eris.Wrapf(errMalformedHead, "field %s", quoteBounded(string(line)))
+	}
+	// net/http ignores the field, so that the coding would be passed on as a part of the body.
+	if h.minor == '0' && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return eris.Wrap(errMalformedHead, "transfer coding with HTTP/1.0")
+	}
+	return nil
+}
+
+// isToken reports whether the name of a field is a token, which is not empty.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if !isTokenByte(b) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+func isTokenByte(b byte) bool {
+	return isDigit(b) || 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
 func isDigit(b byte) bool {
