--- a/internal/target/broken_response_test.go
+++ b/internal/target/broken_response_test.go
@@ -161,6 +161,18 @@
 	}
 }
 
+// callOnKeptConnection returns the error of a call that gets the response on a connection which has
+// carried another one.
+func callOnKeptConnection(t *testing.T, response string) error {
+	t.Helper()
+	raw := startRawTarget(t, func(c net.Conn) { _, _ = io.WriteString(c, response) })
+	cl := newClient(t, raw.listener.Addr().String())
+	if err := sendAndRead(cl, newCall(http.MethodGet, "", true)); err != nil {
+		t.Fatal(err)
+	}
+	return sendAndRead(cl, newCall(http.MethodGet, "", true))
+}
+
 // probeOnce sends a probe to a server that sends the response, and returns the error of the probe.
 func probeOnce(t *testing.T, response string) error {
 	t.Helper()
@@ -193,129 +205,60 @@
 		fields = "Content-Length: 2\r\n"
 		body   = "\r\n{}"
 	)
-	for name, x := range map[string]struct {
-		response string
-		valid    bool
-	}{
-		"valid": {
-			response: ok + fields + body,
-			valid:    true,
-		},
-		"valid with HTTP/1.0": {
-			response: "HTTP/1.0 200 OK\r\n" + fields + body,
-			valid:    true,
-		},
-		"valid without a reason": {
-			response: "HTTP/1.1 200\r\n" + fields + body,
-			valid:    true,
-		},
-		"valid after informational responses": {
-			response: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + fields + body,
-			valid:    true,
-		},
-		"highest status": {
-			response: "HTTP/1.1 599 Fail\r\n" + fields + body,
-			valid:    true,
-		},
-		"valid fields of all sorts": {
-			response: ok + "!#$%&'*+-.^_`|~09azAZ: a\tb\xe9\nX:\r\n" + fields + body,
-			valid:    true,
-		},
-		"status 000": {
-			response: "HTTP/1.1 000 OK\r\n" + fields + body,
-		},
-		"refusal with status 000": {
-			response: "HTTP/1.1 000 Busy\r\n" + HeaderNotRun + ": shed\r\n" + fields + body,
-		},
-		"status below 100": {
-			response: "HTTP/1.1 099 OK\r\n" + fields + body,
-		},
-		"status above 599": {
-			response: "HTTP/1.1 600 OK\r\n" + fields + body,
-		},
-		"status with a sign": {
-			response: "HTTP/1.1 +20 OK\r\n" + fields + body,
-		},
-		"status 000 after an informational response": {
-			response: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + fields + body,
-		},
-		"protocol switch that nobody asked for": {
-			response: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n" + fields + body,
-		},
-		"two blanks before the status": {
-			response: "HTTP/1.1  200 OK\r\n" + fields + body,
-		},
-		"other major version": {
-			response: "HTTP/2.0 200 OK\r\n" + fields + body,
-		},
-		"length with a blank before the colon": {
-			response: ok + "Content-Length : 2\r\n" + body,
-		},
-		"chunks with a blank before the colon": {
-			response: ok + "Transfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
-		},
-		"blank in a name": {
-			response: ok + "X Y: 1\r\n" + fields + body,
-		},
-		"tab in a name": {
-			response: ok + "X\tY: 1\r\n" + fields + body,
-		},
-		"control byte in a name": {
-			response: ok + "X\x01Y: 1\r\n" + fields + body,
-		},
-		"null byte before the colon": {
-			response: ok + "X\x00: 1\r\n" + fields + body,
-		},
-		"carriage return in a name": {
-			response: ok + "X\rY: 1\r\n" + fields + body,
-		},
-		"byte above ASCII in a name": {
-			response: ok + "X\xe9: 1\r\n" + fields + body,
-		},
-		"empty name": {
-			response: ok + ": 1\r\n" + fields + body,
-		},
-		"no colon": {
-			response: ok + "X\r\n" + fields + body,
-		},
-		"blank before the first name": {
-			response: ok + " X: 1\r\n" + fields + body,
-		},
-		"blank before a name": {
-			response: ok + "X: 1\r\n " + fields + body,
-		},
-		"tab before a name": {
-			response: ok + "X: 1\r\n\t" + fields + body,
-		},
-		"line of blanks": {
-			response: ok + fields + "  \r\n" + body,
-		},
-		"control byte in a value": {
-			response: ok + "X: a\x01b\r\n" + fields + body,
-		},
-		"blank in a name of an informational response": {
-			response: "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + ok + fields + body,
-		},
-		"chunks with HTTP/1.0": {
-			response: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
-		},
-	} {
+	valid := map[string]string{
+		"valid":                               ok + fields + body,
+		"valid with HTTP/1.0":                 "HTTP/1.0 200 OK\r\n" + fields + body,
+		"valid without a reason":              "HTTP/1.1 200\r\n" + fields + body,
+		"valid after informational responses": "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + fields + body,
+		"highest status":                      "HTTP/1.1 599 Fail\r\n" + fields + body,
+		"valid fields of all sorts":           ok + "!#$%&'*+-.^_`|~09azAZ: a\tb\xe9\nX:\r\n" + fields + body,
+	}
+	malformed := map[string]string{
+		"status 000":                                   "HTTP/1.1 000 OK\r\n" + fields + body,
+		"refusal with status 000":                      "HTTP/1.1 000 Busy\r\n" + HeaderNotRun + ": shed\r\n" + fields + body,
+		"status below 100":                             "HTTP/1.1 099 OK\r\n" + fields + body,
+		"status above 599":                             "HTTP/1.1 600 OK\r\n" + fields + body,
+		"status with a sign":                           "HTTP/1.1 +20 OK\r\n" + fields + body,
+		"status 000 after an informational response":   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + fields + body,
+		"protocol switch that nobody asked for":        "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n" + fields + body,
+		"two blanks before the status":                 "HTTP/1.1  200 OK\r\n" + fields + body,
+		"other major version":                          "HTTP/2.0 200 OK\r\n" + fields + body,
+		"length with a blank before the colon":         ok + "Content-Length : 2\r\n" + body,
+		"chunks with a blank before the colon":         ok + "Transfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"blank in a name":                              ok + "X Y: 1\r\n" + fields + body,
+		"tab in a name":                                ok + "X\tY: 1\r\n" + fields + body,
+		"control byte in a name":                       ok + "X\x01Y: 1\r\n" + fields + body,
+		"null byte before the colon":                   ok + "X\x00: 1\r\n" + fields + body,
+		"carriage return in a name":                    ok + "X\rY: 1\r\n" + fields + body,
+		"byte above ASCII in a name":                   ok + "X\xe9: 1\r\n" + fields + body,
+		"empty name":                                   ok + ": 1\r\n" + fields + body,
+		"no colon":                                     ok + "X\r\n" + fields + body,
+		"blank before the first name":                  ok + " X: 1\r\n" + fields + body,
+		"blank before a name":                          ok + "X: 1\r\n " + fields + body,
+		"tab before a name":                            ok + "X: 1\r\n\t" + fields + body,
+		"line of blanks":                               ok + fields + "  \r\n" + body,
+		"control byte in a value":                      ok + "X: a\x01b\r\n" + fields + body,
+		"blank in a name of an informational response": "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + ok + fields + body,
+		"chunks with HTTP/1.0":                         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	}
+	for name, response := range valid {
 		t.Run(name, func(t *testing.T) {
-			raw := startRawTarget(t, func(c net.Conn) { _, _ = io.WriteString(c, x.response) })
-			cl := newClient(t, raw.listener.Addr().String())
-			if err := sendAndRead(cl, newCall(http.MethodGet, "", true)); err != nil {
-				t.Fatal(err)
-			}
-			err := sendAndRead(cl, newCall(http.MethodGet, "", true))
-			if x.valid && err != nil {
+			if err := callOnKeptConnection(t, response); err != nil {
 				t.Errorf("call: got %v, want no error", err)
 			}
+			if err := probeOnce(t, response); err != nil {
+				t.Errorf("probe: got %v, want no error", err)
+			}
+		})
+	}
+	for name, response := range malformed {
+		t.Run(name, func(t *testing.T) {
 			var e *tarragonwell.AttemptError
-			if !x.valid && (!errors.As(err, &e) || e.Stage != tarragonwell.StageSent) {
+			if err := callOnKeptConnection(t, response); !errors.As(err, &e) || e.Stage != tarragonwell.StageSent {
 				t.Errorf("call: got %v, want an AttemptError with StageSent", err)
 			}
-			if err := probeOnce(t, x.response); (err == nil) != x.valid {
-				t.Errorf("probe: got error %v, want valid %t", err, x.valid)
+			if err := probeOnce(t, response); !errors.Is(err, ErrProbe) {
+				t.Errorf("probe: got %v, want ErrProbe", err)
 			}
 		})
 	}
