Reset a response that breaks off to a caller of HTTP/1.0

What callers saw: a caller that speaks HTTP/1.0 gets a part of a long response as the whole, if the target's response has no length and breaks off.

Cause: the instance aborts such a response by closing the connection, and over HTTP/1.0 the end of the connection ends the body.

Change: a connection over HTTP/1.0 that is closed while its request is handled is reset, as one that is closed to make room for others already was. A reset is no end of a body.

--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -46,7 +46,7 @@
 // guardFixture is a server behind a guard. Its handler echoes the body of a request, waits
 // for release before if the path is /wait, or responds with largeBody bytes if it is /large. If it
 // is /kept it responds with lastBody bytes; if it is /last too, but waits for release before and
-// closes the connection after them.
+// closes the connection after them. If it is /broken it breaks its response off.
 type guardFixture struct {
 	guard       *Guard
 	clock       shiftedClock
@@ -111,6 +111,10 @@
 			case "/large":
 				_, _ = w.Write(make([]byte, largeBody))
 				return
+			case "/broken":
+				_, _ = io.WriteString(w, "part")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
 			case "/kept":
 				w.Header().Set("Content-Length", strconv.Itoa(lastBody))
 				_, _ = w.Write(make([]byte, lastBody))
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -71,6 +71,9 @@
 	// inHandler is set from the start of a request's handler until it returns; it stays set
 	// if the handler panics, which breaks the response off.
 	inHandler bool
+	// unframed is set if the end of the connection may end the response to the current request,
+	// as over HTTP/1.0.
+	unframed bool
 	// wrote is set once a part of a response was written after the connection was last idle.
 	wrote bool
 	// readDeadline is the deadline for reads without that of a drain; zero for none.
@@ -244,6 +247,7 @@
 		return
 	}
 	c.inHandler = true
+	c.unframed = !r.ProtoAtLeast(1, 1)
 	c.ended = c.ended || r.Close
 	if r.ContentLength != 0 {
 		c.body = newBodyScanner(r.ContentLength)
@@ -344,12 +348,19 @@
 // is reset: the kernel discards what the caller has not received, and a caller whose response ends
 // with the connection, as over HTTP/1.0, does not take it for complete.
 func (c *guardedConn) closeForRoom(reason admission.CloseReason) {
-	if x, ok := c.Conn.(lingerer); ok && reason == admission.CloseUnread {
-		_ = x.SetLinger(0)
+	if reason == admission.CloseUnread {
+		c.resetOnClose()
 	}
 	_ = c.Conn.Close()
 }
 
+// resetOnClose makes the close of the connection a reset.
+func (c *guardedConn) resetOnClose() {
+	if x, ok := c.Conn.(lingerer); ok {
+		_ = x.SetLinger(0)
+	}
+}
+
 // lingerer is implemented by *net.TCPConn.
 type lingerer interface {
 	SetLinger(seconds int) error
--- a/internal/sockets/linger.go
+++ b/internal/sockets/linger.go
@@ -26,10 +26,14 @@
 )
 
 // Close implements net.Conn. After a response that closes the connection it returns at once,
-// and the connection is closed when the caller has received the response.
+// and the connection is closed when the caller has received the response. A response that breaks
+// off is ended by a reset if the end of the connection would make it look complete.
 func (c *guardedConn) Close() error {
 	c.mu.Lock()
 	lingers := c.wrote && !c.inHandler && !c.ended && !c.http2
+	if c.inHandler && c.unframed {
+		c.resetOnClose()
+	}
 	// A second call closes at once.
 	c.ended = true
 	c.mu.Unlock()
--- a/internal/sockets/linger_test.go
+++ b/internal/sockets/linger_test.go
@@ -84,6 +84,24 @@
 	}
 }
 
+// TestBrokenResponseIsNotWhole guards against a response that breaks off and looks complete, as
+// over HTTP/1.0 the end of the connection ends it.
+func TestBrokenResponseIsNotWhole(t *testing.T) {
+	f := startGuarded(t, 0, 0)
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		conn := f.dial(t)
+		fmt.Fprintf(conn, "GET /broken %s\r\nHost: h\r\n\r\n", version)
+		content := []byte(nil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			content, err = io.ReadAll(response.Body)
+		}
+		if err == nil {
+			t.Errorf("%s: got %q as a complete response, want an error", version, content)
+		}
+	}
+}
+
 // TestLingerProgress checks when a connection that is being closed is given up: not while its
 // caller goes on receiving, however slowly.
 func TestLingerProgress(t *testing.T) {
