--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonwell/tarragonwell/pkg/settingsfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/test/standin/hostile"
+	"github.com/tarragonwell/tarragonwell/test/standin/tcp"
 )
 
 // newPeers returns Peers that are not running. onLeaving may be nil.
@@ -230,23 +231,9 @@
 	defer running.Wait()
 	defer cancel()
 	var connections atomic.Int64
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			_ = c.Close()
-		}
-	}()
+	address := tcp.StartForTest(t, func(*net.TCPConn) { connections.Add(1) })
 	for range 10 * burstBytes / refreshBytes {
-		p.Refresh(ctx, []string{l.Addr().String()})
+		p.Refresh(ctx, []string{address})
 	}
 	if got, want := connections.Load(), int64(2*burstBytes/refreshBytes); got > want || got == 0 {
 		t.Errorf("got %d exchanges, want 1 to %d", got, want)
--- a/internal/service/mixed_responses_test.go
+++ b/internal/service/mixed_responses_test.go
@@ -12,31 +12,17 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/target"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/standin/tcp"
 )
 
 // startRepeatingTarget starts a target that sends each response a second time, late, on
 // the same connection. The body of a response is the path of its request.
 func startRepeatingTarget(t *testing.T, delay time.Duration) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go repeatResponses(c, delay)
-		}
-	}()
-	return l.Addr().String()
+	return tcp.StartForTest(t, func(c *net.TCPConn) { repeatResponses(c, delay) })
 }
 
 func repeatResponses(c net.Conn, delay time.Duration) {
-	defer c.Close()
 	var mu sync.Mutex
 	reader := bufio.NewReader(c)
 	for {
@@ -135,30 +121,15 @@
 
 func startLateCopyTarget(t *testing.T, failure string) (x *lateCopyTarget, address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	x = &lateCopyTarget{
 		failure:  failure,
 		requests: map[string]int{},
 		runs:     map[string]int{},
 	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go x.serve(c)
-		}
-	}()
-	return x, l.Addr().String()
+	return x, tcp.StartForTest(t, x.serve)
 }
 
-func (x *lateCopyTarget) serve(c net.Conn) {
-	defer c.Close()
+func (x *lateCopyTarget) serve(c *net.TCPConn) {
 	reader := bufio.NewReader(c)
 	failures := map[string]string{}
 	for {
--- a/internal/target/broken_response_test.go
+++ b/internal/target/broken_response_test.go
@@ -14,31 +14,9 @@
 
 	"github.com/tarragonwell/tarragonwell/internal/common"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/standin/tcp"
 )
 
-// startServer passes each connection to a function, until the test ends, and returns its address.
-func startServer(t *testing.T, serve func(*net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestEarlyResponseWithoutLength guards against a part of a response that passes for the whole:
 // the target responds without a length while the call is still being written, and then resets
 // the connection. Only a target that ends its side of the connection has sent all of the response.
@@ -66,7 +44,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startServer(t, func(c *net.TCPConn) {
+			address := tcp.StartForTest(t, func(c *net.TCPConn) {
 				_, _ = c.Read(make([]byte, 512))
 				_, _ = io.WriteString(c, x.head+body)
 				if x.reset {
@@ -166,7 +144,7 @@
 func callOnKeptConnection(t *testing.T, response string) error {
 	t.Helper()
 	raw := startRawTarget(t, func(c net.Conn) { _, _ = io.WriteString(c, response) })
-	cl := newClient(t, raw.listener.Addr().String())
+	cl := newClient(t, raw.address)
 	if err := sendAndRead(cl, newCall(http.MethodGet, "", true)); err != nil {
 		t.Fatal(err)
 	}
@@ -176,7 +154,7 @@
 // probeOnce sends a probe to a server that sends the response, and returns the error of the probe.
 func probeOnce(t *testing.T, response string) error {
 	t.Helper()
-	address := startServer(t, func(c *net.TCPConn) {
+	address := tcp.StartForTest(t, func(c *net.TCPConn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			_, _ = io.WriteString(c, response)
 		}
--- a/internal/target/send_test.go
+++ b/internal/target/send_test.go
@@ -13,42 +13,28 @@
 	"time"
 
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+	"github.com/tarragonwell/tarragonwell/test/standin/tcp"
 )
 
 // rawTarget is a target that responds to the first request on each connection and calls
 // onSecondRequest for the second, after which it closes the connection. It counts the
 // requests that it has read completely.
 type rawTarget struct {
-	listener        net.Listener
+	address         string
 	requestsRead    atomic.Int64
 	onSecondRequest func(c net.Conn)
 }
 
 func startRawTarget(t *testing.T, onSecondRequest func(net.Conn)) *rawTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	r := &rawTarget{
-		listener:        l,
 		onSecondRequest: onSecondRequest,
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(c)
-		}
-	}()
+	r.address = tcp.StartForTest(t, r.serve)
 	return r
 }
 
-func (r *rawTarget) serve(c net.Conn) {
-	defer c.Close()
+func (r *rawTarget) serve(c *net.TCPConn) {
 	reader := bufio.NewReader(c)
 	for n := 0; ; n++ {
 		request, err := http.ReadRequest(reader)
@@ -138,7 +124,7 @@
 		},
 	} {
 		raw := startRawTarget(t, func(net.Conn) {})
-		target := newClient(t, raw.listener.Addr().String())
+		target := newClient(t, raw.address)
 		if err := sendAndRead(target, newCall(test.method, test.body, false)); err != nil {
 			t.Fatal(err)
 		}
@@ -162,7 +148,7 @@
 	// unreachable has an address at which nothing listens.
 	unreachable := newClient(t, closed.Addr().String())
 	raw := startRawTarget(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) })
-	unresponsive := newClient(t, raw.listener.Addr().String())
+	unresponsive := newClient(t, raw.address)
 	late := newCall(http.MethodPost, "x", false)
 	late.Deadline = time.Now().Add(-time.Millisecond)
 	tests := []struct {
@@ -436,7 +422,7 @@
 				r := startRawTarget(t, func(c net.Conn) {
 					_, _ = io.WriteString(c, x.response[:cut])
 				})
-				target := newClient(t, r.listener.Addr().String())
+				target := newClient(t, r.address)
 				// The raw target truncates its second response on a connection.
 				if err := sendAndRead(target, newCall(http.MethodGet, "", true)); err != nil {
 					t.Fatal(err)
--- a/test/standin/hostile/hostile.go
+++ b/test/standin/hostile/hostile.go
@@ -9,6 +9,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/tarragonwell/tarragonwell/test/standin/tcp"
 )
 
 // Mode is a way in which a response never ends.
@@ -184,28 +186,11 @@
 
 // Start serves on a free port of the loopback interface until stop is called.
 func (s *Server) Start() (address string, stop func(), err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", nil, err
-	}
-	go s.serve(l)
-	return l.Addr().String(), func() { _ = l.Close() }, nil
-}
-
-// serve accepts connections until the listener is closed.
-func (s *Server) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go s.serveConn(c)
-	}
+	return tcp.Start(s.serveConn)
 }
 
 // serveConn responds to the first request on a connection. The response never ends.
-func (s *Server) serveConn(c net.Conn) {
-	defer c.Close()
+func (s *Server) serveConn(c *net.TCPConn) {
 	request := readHeader(c)
 	if request == nil {
 		return
