Give up an early response that a reset follows

What callers saw: as with a reset at once, a part of a response without a length that passes for the whole, if the target first ends its side of the connection and the reset follows while the upload is still being written.

Cause: a target that has read all that had arrived when it closes the connection ends its side in order; the reset is the answer to the next bytes of the upload.

A target that goes on reading, or does not read but leaves the connection open, still gives a complete response, as two cases show. EPIPE counts as a failure now, so that a case of TestEndOfStreamAfterFailedWrite is stricter. Probes and calls prepare their connections in one place (writeTracker).

--- a/internal/target/broken_response_test.go
+++ b/internal/target/broken_response_test.go
@@ -19,45 +19,67 @@
 
 // TestEarlyResponseWithoutLength guards against a part of a response that passes for the whole:
 // the target responds without a length while the call is still being written, and then resets
-// the connection. Only a target that ends its side of the connection has sent all of the response.
+// the connection, at once or after it has ended its side. Without a reset, that end ends the body.
 func TestEarlyResponseWithoutLength(t *testing.T) {
-	const body = "0123456789"
+	const (
+		calls = 100
+		body  = "0123456789"
+	)
 	upload := string(make([]byte, 8<<20))
+	reset := func(c *net.TCPConn) {
+		// The response is being read and the call written at this time.
+		time.Sleep(2 * time.Millisecond)
+		_ = c.SetLinger(0)
+	}
 	for name, x := range map[string]struct {
-		head  string
-		reset bool
+		head string
+		// end ends the connection, which is closed when it returns.
+		end  func(*net.TCPConn)
+		want int
 	}{
 		"reset": {
-			head:  "HTTP/1.1 200 OK\r\n\r\n",
-			reset: true,
+			head: "HTTP/1.1 200 OK\r\n\r\n",
+			end:  reset,
 		},
 		"reset after a response with connection close": {
-			head:  "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
-			reset: true,
+			head: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+			end:  reset,
 		},
 		"reset with HTTP/1.0": {
-			head:  "HTTP/1.0 200 OK\r\n\r\n",
-			reset: true,
+			head: "HTTP/1.0 200 OK\r\n\r\n",
+			end:  reset,
+		},
+		"reset after the end of the target's side": {
+			head: "HTTP/1.1 200 OK\r\n\r\n",
+			end: func(c *net.TCPConn) {
+				_ = c.CloseWrite()
+				_ = c.SetLinger(0)
+			},
+		},
+		"end of a target that reads on": {
+			head: "HTTP/1.1 200 OK\r\n\r\n",
+			end: func(c *net.TCPConn) {
+				_ = c.CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+			},
+			want: calls,
 		},
-		"end of the target's side": {
+		"end of a target that does not read on": {
 			head: "HTTP/1.1 200 OK\r\n\r\n",
+			end: func(c *net.TCPConn) {
+				_ = c.CloseWrite()
+				time.Sleep(time.Second)
+			},
+			want: calls,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			address := tcp.StartForTest(t, func(c *net.TCPConn) {
 				_, _ = c.Read(make([]byte, 512))
 				_, _ = io.WriteString(c, x.head+body)
-				if x.reset {
-					// The call is being read and written at this time.
-					time.Sleep(2 * time.Millisecond)
-					_ = c.SetLinger(0)
-					return
-				}
-				_ = c.CloseWrite()
-				// The target does not read on, and leaves the connection open.
-				time.Sleep(time.Second)
+				x.end(c)
 			})
-			const calls = 100
 			complete := 0
 			for range calls {
 				cl := newClient(t, address)
@@ -74,12 +96,8 @@
 					t.Fatalf("got %q as a complete response, want %q", got, want)
 				}
 			}
-			want := calls
-			if x.reset {
-				want = 0
-			}
-			if complete != want {
-				t.Errorf("got %d of %d responses as complete, want %d", complete, calls, want)
+			if got := complete; got != x.want {
+				t.Errorf("got %d of %d responses as complete, want %d", got, calls, x.want)
 			}
 		})
 	}
@@ -115,9 +133,9 @@
 			want:     syscall.ETIMEDOUT,
 		},
 		{
-			// The target has ended its stream and then closed the connection.
+			// The target has ended its stream and then reset the connection.
 			writeErr: syscall.EPIPE,
-			want:     io.EOF,
+			want:     syscall.EPIPE,
 		},
 		{
 			writeErr: os.ErrDeadlineExceeded,
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -20,20 +20,22 @@
 
 // trackedConn is a connection that counts writes, which shows whether a byte of a call
 // can have reached the target, and rejects writes after the call's deadline. Its stream ends
-// with io.EOF only if the target has ended it.
+// with io.EOF only if the target has ended it and no write has failed.
 type trackedConn struct {
 	net.Conn
 	// writing is held during a write.
 	writing sync.Mutex
-	// failure is the error by which a write learnt that the connection has failed; nil for
+	// failure is the error of the first write that failed because the connection had; nil for
 	// none. It is guarded by writing.
 	failure error
 	// writes is the number of writes that were attempted.
 	writes atomic.Uint64
-	// headMutex guards head.
-	headMutex sync.Mutex
-	// head checks the response to the current call.
+	// callMutex guards the fields of the current call below.
+	callMutex sync.Mutex
+	// head checks the response.
 	head responseHead
+	// written is closed when all of the call was written, or a write has failed; nil after that.
+	written chan struct{}
 	// callDeadline is the deadline of the current call on the monotonic clock, in
 	// nanoseconds since processStart; 0 if there is none.
 	callDeadline atomic.Int64
@@ -54,12 +56,13 @@
 // the number of writes so far.
 func (c *trackedConn) beginCall(deadline, firstWriteBy time.Time) uint64 {
 	writes := c.writes.Load()
+	c.callMutex.Lock()
+	c.written = make(chan struct{})
 	// On a new connection, the target may have begun its first response already.
 	if writes > 0 {
-		c.headMutex.Lock()
 		c.head = responseHead{}
-		c.headMutex.Unlock()
 	}
+	c.callMutex.Unlock()
 	c.callDeadline.Store(int64(deadline.Sub(processStart)))
 	c.firstWriteBy.Store(0)
 	if !firstWriteBy.IsZero() {
@@ -68,6 +71,16 @@
 	return writes
 }
 
+// endWrites is called when all of the call was written, or a write has failed.
+func (c *trackedConn) endWrites() {
+	c.callMutex.Lock()
+	defer c.callMutex.Unlock()
+	if c.written != nil {
+		close(c.written)
+		c.written = nil
+	}
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
@@ -98,48 +111,10 @@
 }
 
 // isConnectionFailure reports whether a write failed because the connection has, for example
-// by a reset. EPIPE does not tell: it also follows a reset after the target has ended its stream.
+// by a reset.
 func isConnectionFailure(err error) bool {
 	var errno syscall.Errno
-	return errors.As(err, &errno) && errno != syscall.EPIPE
-}
-
-// Read implements net.Conn. It fails at the first line of a head that is malformed.
-//
-// The kernel reports the failure of a connection only once. If a write has got that report, the
-// kernel ends the stream as if the target had, so that a response without a length would look
-// complete. Read then returns the error of the write.
-func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if headErr := c.scanHead(p[:n]); headErr != nil {
-		return 0, headErr
-	}
-	if err == io.EOF {
-		if failure := c.writeFailure(); failure != nil {
-			err = failure
-		}
-	}
-	return n, err
-}
-
-// scanHead checks the bytes that belong to the head of a response.
-func (c *trackedConn) scanHead(p []byte) error {
-	c.headMutex.Lock()
-	defer c.headMutex.Unlock()
-	return c.head.scan(p)
-}
-
-// writeFailure returns the error by which a write learnt that the connection has failed, if one
-// did. It is called at the end of the stream: no response can follow, so that a write for which
-// the target makes no room is ended.
-func (c *trackedConn) writeFailure() error {
-	if !c.writing.TryLock() {
-		// The error is that of a closed connection, which has no writes in progress.
-		_ = c.Conn.SetWriteDeadline(time.Now())
-		c.writing.Lock()
-	}
-	defer c.writing.Unlock()
-	return c.failure
+	return errors.As(err, &errno)
 }
 
 // ReadFrom implements io.ReaderFrom. The transport writes a body with it, within the length
--- a/internal/target/send.go
+++ b/internal/target/send.go
@@ -26,7 +26,7 @@
 		}
 	}
 	var writes writeTracker
-	request, err := cl.newRequest(writes.withTrace(ctx, c), c)
+	request, err := cl.newRequest(writes.withTrace(ctx, c.Deadline, c.SendBefore), c)
 	if err != nil {
 		return nil, &tarragonwell.AttemptError{
 			Stage:  tarragonwell.StageNotSent,
@@ -41,7 +41,7 @@
 	return cl.acceptResponse(response, c, writes.reused)
 }
 
-// writeTracker records whether a byte of a call can have reached the target.
+// writeTracker records whether a byte of a call or of a probe can have reached the target.
 type writeTracker struct {
 	conn *trackedConn
 	// writesBefore is the number of writes on conn before it was used for the call.
@@ -52,16 +52,21 @@
 	writtenEarlier bool
 }
 
-// withTrace returns a context that records the connections used for the request and
-// sets the call's deadline on them.
-func (w *writeTracker) withTrace(ctx context.Context, c *tarragonwell.Call) context.Context {
+// withTrace returns a context that records the connections used for the request and prepares
+// them for it, with the deadlines for its writes and for the first of them.
+func (w *writeTracker) withTrace(ctx context.Context, deadline, firstWriteBy time.Time) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			w.writtenEarlier = w.written()
 			w.reused = info.Reused
 			w.conn, _ = info.Conn.(*trackedConn)
 			if w.conn != nil {
-				w.writesBefore = w.conn.beginCall(c.Deadline, c.SendBefore)
+				w.writesBefore = w.conn.beginCall(deadline, firstWriteBy)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if w.conn != nil {
+				w.conn.endWrites()
 			}
 		},
 	})
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -9,7 +9,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -219,23 +218,14 @@
 	})
 }
 
-// withProbeDeadline returns a context that prepares the connection which a probe uses and sets the
-// probe's deadline on it: that of the call before, which the connection still has, is usually over.
-func withProbeDeadline(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			deadline, ok := ctx.Deadline()
-			if c, tracked := info.Conn.(*trackedConn); tracked && ok {
-				c.beginCall(deadline, time.Time{})
-			}
-		},
-	})
-}
-
+// fetchLoad sends a load probe. ctx must have a deadline.
 func (cl *Client) fetchLoad(ctx context.Context) (tarragonwell.ProbeResponse, error) {
 	var none tarragonwell.ProbeResponse
 	url := "http://" + cl.options.Listed.Address + cl.dialect.ProbePath(cl.options.Service)
-	request, err := http.NewRequestWithContext(withProbeDeadline(ctx), http.MethodGet, url, nil)
+	// Without the deadline of the probe, its connection would have that of the call before.
+	deadline, _ := ctx.Deadline()
+	var writes writeTracker
+	request, err := http.NewRequestWithContext(writes.withTrace(ctx, deadline, time.Time{}), http.MethodGet, url, nil)
 	if err != nil {
 		return none, eris.Wrap(ErrProbe, err.Error())
 	}
