--- a/review/11/main.go
+++ b/review/11/main.go
@@ -103,7 +103,7 @@
 		d.Publish(latest)
 		time.Sleep(time.Second)
 	}
-	returned := drill(d, latest)
+	returned := d.Drill(copyAge, awayFor, latest)
 	time.Sleep(2 * time.Second)
 	confirmed := d.Publish(configuration("backoffice", 1800*time.Millisecond, true))
 	d.Record.Note("from now on orders go to backoffice, and exports have a route")
@@ -120,31 +120,6 @@
 // services are those of the deployment.
 var services = []string{"storefront", "backoffice"}
 
-// drill lets the store go away and come back from a copy. What the operator and the backends
-// wrote since is written again.
-func drill(d *standins3.Deployment, latest standins3.Configuration) time.Time {
-	if !standins3.Trouble() {
-		time.Sleep(awayFor)
-		return time.Now()
-	}
-	copied := time.Now().Add(-copyAge)
-	d.Store.Leave()
-	d.Record.Note("the store is away")
-	time.Sleep(awayFor)
-	before, after, lost := d.Store.Return(copied)
-	returned := time.Now()
-	d.Record.Note("the store is back from a copy of %v before: revision %d instead of %d, lost changes of %v", copyAge, after, before, lost)
-	for _, b := range d.Backends {
-		for _, key := range lost {
-			if key == b.Key() {
-				d.Store.Put(key, b.Entry(1))
-			}
-		}
-	}
-	d.Rewrite(latest)
-	return returned
-}
-
 // judge counts the requests sent after judged that were handled as only an older
 // configuration allows.
 func judge(d *standins3.Deployment, judged time.Time) int {
--- a/review/standins3/backend.go
+++ b/review/standins3/backend.go
@@ -145,7 +145,7 @@
 		<-b.slots
 		b.count(-1, 0)
 	}()
-	b.record.Ran(id, b)
+	defer b.record.Ran(id, b)()
 	deadline := make(<-chan time.Time)
 	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
 		deadline = time.After(time.Duration(ms) * time.Millisecond)
--- a/review/standins3/client.go
+++ b/review/standins3/client.go
@@ -1,9 +1,12 @@
 package standins3
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -65,3 +68,51 @@
 	want := Body(x.ID, x.Path)
 	x.Intact = bytes.Equal(body, want) && response.Header.Get("Response-Seal") == Seal(want)
 }
+
+// Pipeline is a client that sends several GET requests before the first is answered.
+type Pipeline struct {
+	Instance *Instance
+	Record   *Record
+	Deadline time.Duration
+}
+
+// Send sends requests with the given ids to a path on one new connection. If leaveAfter is
+// not 0, the client closes the connection after that time; otherwise it reads all answers. It
+// returns when the connection was closed.
+func (p *Pipeline) Send(ids []string, path string, leaveAfter time.Duration) (closed time.Time, err error) {
+	conn, err := net.Dial("tcp", p.Instance.Callers)
+	if err != nil {
+		return time.Time{}, err
+	}
+	defer conn.Close()
+	var text strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", path, Host, id, p.Deadline.Milliseconds())
+	}
+	sent := time.Now()
+	if _, err := io.WriteString(conn, text.String()); err != nil {
+		return time.Time{}, err
+	}
+	if leaveAfter > 0 {
+		time.Sleep(leaveAfter)
+		_ = conn.Close()
+		closed = time.Now()
+	} else {
+		_ = conn.SetReadDeadline(sent.Add(p.Deadline))
+	}
+	reader := bufio.NewReader(conn)
+	for _, id := range ids {
+		x := Request{
+			ID:       id,
+			Path:     path,
+			Instance: p.Instance.Name,
+			Sent:     sent,
+		}
+		if response, err := http.ReadResponse(reader, nil); leaveAfter == 0 && err == nil {
+			x.read(response)
+		}
+		x.Ended = time.Now()
+		p.Record.Answered(x)
+	}
+	return closed, nil
+}
--- a/review/standins3/deployment.go
+++ b/review/standins3/deployment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -190,6 +191,30 @@
 	return time.Now()
 }
 
+// Drill lets the store go away and come back from a copy of the given age. What the operator
+// and the backends wrote since is written again at once; latest is the operator's newest
+// configuration. Without trouble it only waits. It returns when the store was back.
+func (d *Deployment) Drill(copyAge, awayFor time.Duration, latest Configuration) time.Time {
+	if !Trouble() {
+		time.Sleep(awayFor)
+		return time.Now()
+	}
+	copied := time.Now().Add(-copyAge)
+	d.Store.Leave()
+	d.Record.Note("the store is away")
+	time.Sleep(awayFor)
+	before, after, lost := d.Store.Return(copied)
+	returned := time.Now()
+	d.Record.Note("the store is back from a copy of %v before: revision %d instead of %d, lost changes of %v", copyAge, after, before, lost)
+	for _, b := range d.Backends {
+		if slices.Contains(lost, b.Key()) {
+			d.Store.Put(b.Key(), b.Entry(1))
+		}
+	}
+	d.Rewrite(latest)
+	return returned
+}
+
 // Load is a steady load on a path. Each client sends to one instance.
 type Load struct {
 	// Name begins the ids of the requests.
--- a/review/standins3/record.go
+++ b/review/standins3/record.go
@@ -29,6 +29,8 @@
 	Service string
 	Zone    string
 	At      time.Time
+	// Ended is when the work ended; zero while it goes on.
+	Ended time.Time
 }
 
 // Record collects what was sent, answered and run. Create it with NewRecord.
@@ -57,10 +59,12 @@
 	r.notes = append(r.notes, line)
 }
 
-// Ran records that a backend has begun to work on a request.
-func (r *Record) Ran(id string, b *Backend) {
+// Ran records that a backend has begun to work on a request, and returns a function that
+// records the end.
+func (r *Record) Ran(id string, b *Backend) (ended func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	index := len(r.runs)
 	r.runs = append(r.runs, Run{
 		ID:      id,
 		Backend: b.ID,
@@ -68,6 +72,11 @@
 		Zone:    b.Zone,
 		At:      time.Now(),
 	})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.runs[index].Ended = time.Now()
+	}
 }
 
 // Answered records a request that has ended.
