--- a/review/standins3/instance.go
+++ b/review/standins3/instance.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,8 +40,9 @@
 		Name: name,
 		Zone: zone,
 	}
+	ip := loopbackAddress()
 	for _, address := range []*string{&i.Callers, &i.Readiness, &i.Peers, &i.operators} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -51,6 +53,17 @@
 	return i, nil
 }
 
+// lastInstance counts the instances of this process.
+var lastInstance atomic.Int64
+
+// loopbackAddress returns a loopback address of its own for each instance, so that no connection
+// of another process takes a port that was found free.
+func loopbackAddress() string {
+	n := lastInstance.Add(1)
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+process/250%100, process%250, n)
+}
+
 // placeholder is one of the template of the settings.
 var placeholder = regexp.MustCompile(`\{\{([A-Za-z.0-9]+)(\|json)?\}\}`)
 
