--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -41,6 +41,9 @@
 func printStatus(o *Output, s *pb.StatusResponse) error {
 	fmt.Fprintf(o.Stdout, "instance %s  data-center %s  state %s\n", s.GetInstance(), s.GetDataCenter(), s.GetState())
 	fmt.Fprintf(o.Stdout, "rules revision %d  digest %.12s  platform last confirmed %d ms ago\n", s.GetRulesRevision(), s.GetRulesDigest(), s.GetPlatformAgeMs())
+	if s.GetListEra() > 0 {
+		fmt.Fprintf(o.Stdout, "platform era %d  list revision %d\n", s.GetListEra(), s.GetListRevision())
+	}
 	if s.GetRefusal() != "" {
 		fmt.Fprintf(o.Stdout, "revision %d was refused: %s\n", s.GetRefusedRevision(), s.GetRefusal())
 	}
--- a/internal/instance/bootstrap.go
+++ b/internal/instance/bootstrap.go
@@ -60,7 +60,7 @@
 		case <-ctx.Done():
 			return nil, false
 		case r := <-rounds:
-			state.PeersDrawnFromRevision = r.listRevision
+			state.PeersDrawnFrom = r.list
 			state.PeersContacted = r.contacted
 			state.PeersResponded = r.responded
 			state.NewestRules = r.newestRules
@@ -78,7 +78,7 @@
 	if rules := i.reconciler.Rules(); rules != nil {
 		state.RulesInForce = rules.Version
 	}
-	state.ListRevision = i.reconciler.snapshot.Load().listRevision
+	state.List = i.reconciler.snapshot.Load().list
 	if p := i.platformPosition.Load(); p != nil {
 		state.PlatformPosition = *p
 	}
@@ -90,8 +90,8 @@
 type syncRound struct {
 	// newestRules is the newest version that any peer reported.
 	newestRules tarragonwell.RulesVersion
-	// listRevision is the revision of the list from which the peers were drawn.
-	listRevision uint64
+	// list is the position of the list from which the peers were drawn.
+	list tarragonwell.ListPosition
 	// responded counts those of the contacted peers that responded.
 	responded int
 	contacted int
@@ -110,15 +110,15 @@
 
 // syncOnce runs one sync round with randomly drawn peers.
 func (i *Instance) syncOnce(ctx context.Context) syncRound {
-	revision := i.reconciler.snapshot.Load().listRevision
+	list := i.reconciler.snapshot.Load().list
 	addresses := i.peerAddresses()
 	rand.Shuffle(len(addresses), func(a, b int) {
 		addresses[a], addresses[b] = addresses[b], addresses[a]
 	})
 	addresses = addresses[:min(len(addresses), maxSyncPeers)]
 	round := syncRound{
-		listRevision: revision,
-		contacted:    len(addresses),
+		list:      list,
+		contacted: len(addresses),
 	}
 	for _, v := range i.peers.GossipWith(ctx, addresses) {
 		round.responded++
--- a/internal/instance/drains.go
+++ b/internal/instance/drains.go
@@ -42,7 +42,7 @@
 	var next drainStatus
 	next.inForce = drains.Combine(st.list.Drains(), st.rules.DataCenters)
 	next.affected = drains.Mark(byService, next.inForce)
-	if st.list.Revision() == 0 {
+	if st.list.Position() == (tarragonwell.ListPosition{}) {
 		return
 	}
 	previous := st.drains
--- a/internal/instance/drains_test.go
+++ b/internal/instance/drains_test.go
@@ -93,11 +93,11 @@
 func (f *fetchFixture) awaitRevision(t *testing.T, want uint64) {
 	t.Helper()
 	for begin := time.Now(); time.Since(begin) < fetchWait; time.Sleep(time.Millisecond) {
-		if f.reconciler.snapshot.Load().listRevision == want {
+		if f.reconciler.snapshot.Load().list.Revision == want {
 			return
 		}
 	}
-	t.Fatalf("list: got revision %d, want %d", f.reconciler.snapshot.Load().listRevision, want)
+	t.Fatalf("list: got revision %d, want %d", f.reconciler.snapshot.Load().list.Revision, want)
 }
 
 // peerOfPreviousRelease is an instance that reads the store and does not know drains.
@@ -169,23 +169,23 @@
 			pass := func() {
 				reader.read(t)
 				store.setDown(x.storeDown)
-				before := other.reconciler.snapshot.Load().listRevision
+				before := other.reconciler.snapshot.Load().list.Revision
 				if x.previous {
 					p := &peerOfPreviousRelease{
 						store: store,
 						asked: make(chan struct{}),
 					}
-					other.onNewerList(p.serve(t), store.revision)
+					other.onNewerList(p.serve(t), listAt(store.revision))
 					<-p.asked
 					for range 20 {
 						time.Sleep(time.Millisecond)
-						if got := other.reconciler.snapshot.Load().listRevision; got != before {
+						if got := other.reconciler.snapshot.Load().list.Revision; got != before {
 							t.Fatalf("list: got revision %d from the previous release, want %d", got, before)
 						}
 					}
 				}
 				if len(x.cutOff) == 0 {
-					other.onNewerList(address, store.revision)
+					other.onNewerList(address, listAt(store.revision))
 				} else {
 					other.read(t)
 				}
@@ -316,12 +316,12 @@
 	store.down = true
 	store.mu.Unlock()
 	first, second := older.servePeersSlowly(t, 20*time.Millisecond), newest.servePeers(t)
-	paused.onNewerList(first, want-1)
-	paused.onNewerList(second, want)
+	paused.onNewerList(first, listAt(want-1))
+	paused.onNewerList(second, listAt(want))
 	paused.reconciler.mailbox.Post(resyncDone{})
-	for begin := time.Now(); paused.reconciler.snapshot.Load().listRevision != want; time.Sleep(time.Millisecond) {
+	for begin := time.Now(); paused.reconciler.snapshot.Load().list.Revision != want; time.Sleep(time.Millisecond) {
 		if time.Since(begin) > fetchWait {
-			t.Fatalf("got list revision %d, want %d, which a queried peer announced", paused.reconciler.snapshot.Load().listRevision, want)
+			t.Fatalf("got list revision %d, want %d, which a queried peer announced", paused.reconciler.snapshot.Load().list.Revision, want)
 		}
 	}
 }
--- a/internal/instance/fetch.go
+++ b/internal/instance/fetch.go
@@ -16,7 +16,7 @@
 // listHint is a peer's report that it has a newer list.
 type listHint struct {
 	from     string
-	revision uint64
+	position tarragonwell.ListPosition
 }
 
 // resyncRequest requests that the platform is read again because the process was
@@ -53,20 +53,20 @@
 }
 
 // fetchList fetches the changes of the list from the peer that sent the hint, if its
-// revision is newer, and in the same request the rules that belong to them: the peer may
+// position is newer, and in the same request the rules that belong to them: the peer may
 // fail before a second one.
 func (rc *reconciler) fetchList(ctx context.Context, st *reconcilerState, m listHint) {
-	since, rules := st.list.Revision(), st.processedVersion()
+	since, rules := st.list.Position(), st.processedVersion()
 	if st.fetching[fetchList] {
-		if m.revision > st.newestHint.revision {
+		if m.position.After(st.newestHint.position) {
 			st.newestHint = m
 		}
 		return
 	}
-	if m.revision == st.newestHint.revision {
+	if m.position == st.newestHint.position {
 		st.newestHint = listHint{}
 	}
-	if m.revision <= since {
+	if !m.position.After(since) {
 		return
 	}
 	st.fetching[fetchList] = true
@@ -96,8 +96,8 @@
 	}
 	st.resyncing = true
 	after := tarragonwell.PlatformPosition{
-		Rules: st.version().Revision,
-		List:  st.list.Revision(),
+		Rules: st.version(),
+		List:  st.list.Position(),
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, resyncTimeout)
--- a/internal/instance/fetch_test.go
+++ b/internal/instance/fetch_test.go
@@ -69,6 +69,11 @@
 	return set, nil
 }
 
+// Generation implements tarragonwell.PlatformClient.
+func (*fakeStore) Generation([]byte) uint64 {
+	return 0
+}
+
 // Name implements tarragonwell.Feed.
 func (f *fakeStore) Name() string {
 	return "store"
@@ -87,11 +92,11 @@
 	if f.down {
 		return u, errStoreDown
 	}
-	if after.List >= f.revision {
+	if after.List.Revision >= f.revision {
 		return u, nil
 	}
-	u.List = f.changesSince(after.List)
-	if f.rules.Revision > after.List {
+	u.List = f.changesSince(after.List.Revision)
+	if f.rules.Revision > after.List.Revision {
 		rules := f.rules
 		u.Rules = &rules
 	}
@@ -196,7 +201,7 @@
 // settle waits until the reconciler has handled the messages before.
 func (f *fetchFixture) settle(t *testing.T) {
 	t.Helper()
-	if _, err := f.reconciler.ChangesSince(f.ctx, 0, tarragonwell.RulesVersion{}); err != nil {
+	if _, err := f.reconciler.ChangesSince(f.ctx, tarragonwell.ListPosition{}, tarragonwell.RulesVersion{}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -271,10 +276,10 @@
 			reader.read(t)
 
 			address := reader.servePeers(t, cutOff...)
-			other.onNewerList(address, store.revision)
+			other.onNewerList(address, listAt(store.revision))
 			other.onNewerRules(address, rulesfile.VersionOf(store.rules.Revision, store.rules.Content))
 			for begin := time.Now(); time.Since(begin) < fetchWait; time.Sleep(time.Millisecond) {
-				if other.reconciler.snapshot.Load().listRevision == store.revision || len(cutOff) > 1 {
+				if other.reconciler.snapshot.Load().list.Revision == store.revision || len(cutOff) > 1 {
 					break
 				}
 			}
@@ -282,7 +287,7 @@
 			if got, want := other.rulesContent(), "new"; got != want {
 				t.Errorf("rules: got %q, want %q", got, want)
 			}
-			if got, want := other.reconciler.snapshot.Load().listRevision, store.revision; got != want {
+			if got, want := other.reconciler.snapshot.Load().list.Revision, store.revision; got != want {
 				t.Errorf("list: got revision %d, want %d", got, want)
 			}
 		})
@@ -301,7 +306,7 @@
 	)
 	for name, hint := range map[string]func(i *Instance, from string, store *fakeStore){
 		"list": func(i *Instance, from string, store *fakeStore) {
-			i.onNewerList(from, store.revision)
+			i.onNewerList(from, listAt(store.revision))
 		},
 		"rules": func(i *Instance, from string, store *fakeStore) {
 			i.onNewerRules(from, rulesfile.VersionOf(store.rules.Revision, store.rules.Content))
@@ -328,3 +333,10 @@
 		})
 	}
 }
+
+// listAt returns the position of a list of the first era.
+func listAt(revision uint64) tarragonwell.ListPosition {
+	return tarragonwell.ListPosition{
+		Revision: revision,
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -137,10 +137,10 @@
 }
 
 // onNewerList drops the hint if the mailbox is full; the next gossip round repeats it.
-func (i *Instance) onNewerList(from string, revision uint64) {
+func (i *Instance) onNewerList(from string, position tarragonwell.ListPosition) {
 	i.reconciler.mailbox.TryPost(listHint{
 		from:     from,
-		revision: revision,
+		position: position,
 	})
 }
 
@@ -243,18 +243,18 @@
 		return tarragonwell.PlatformPosition{}, 0
 	}
 	return tarragonwell.PlatformPosition{
-		Rules: i.reconciler.latestRevision(),
-		List:  i.reconciler.snapshot.Load().listRevision,
+		Rules: i.reconciler.latestRules(),
+		List:  i.reconciler.snapshot.Load().list,
 	}, wait
 }
 
 // advance returns position p advanced by an update.
 func advance(p tarragonwell.PlatformPosition, u tarragonwell.PlatformUpdate) tarragonwell.PlatformPosition {
 	if u.Rules != nil {
-		p.Rules = u.Rules.Revision
+		p.Rules = u.Rules.Position()
 	}
 	if u.List != nil {
-		p.List = u.List.Revision
+		p.List = u.List.Position()
 	}
 	return p
 }
@@ -271,13 +271,11 @@
 	}
 }
 
-// latestRevision returns the highest revision of the rules that was accepted or
-// refused.
-func (rc *reconciler) latestRevision() uint64 {
+// latestRules returns the latest version of the rules that was accepted or refused.
+func (rc *reconciler) latestRules() tarragonwell.RulesVersion {
 	snap := rc.snapshot.Load()
-	revision := snap.refusal.version.Revision
-	if snap.routing != nil {
-		revision = max(revision, snap.routing.Rules.Version.Revision)
+	if snap.routing == nil || snap.refusal.version.After(snap.routing.Rules.Version) {
+		return snap.refusal.version
 	}
-	return revision
+	return snap.routing.Rules.Version
 }
--- a/internal/instance/publish.go
+++ b/internal/instance/publish.go
@@ -12,10 +12,10 @@
 // gossiped together with the confirmations by the platform.
 func (rc *reconciler) announceVersions(st *reconcilerState) {
 	position := tarragonwell.PlatformPosition{
-		Rules: st.processedVersion().Revision,
-		List:  st.list.Revision(),
+		Rules: st.processedVersion(),
+		List:  st.list.Position(),
 	}
-	push := position.Rules != st.announced.Rules
+	push := !position.Rules.Equal(st.announced.Rules)
 	st.announced = position
 	rc.peers.SetVersions(st.version(), position, push)
 	var addresses []string
@@ -28,11 +28,11 @@
 // publish replaces the snapshot.
 func (rc *reconciler) publish(st *reconcilerState) {
 	snap := &snapshot{
-		services:     map[string]*service.Dispatcher{},
-		refusal:      st.refusal,
-		listRevision: st.list.Revision(),
-		instances:    st.list.Instances(),
-		drains:       st.drains,
+		services:  map[string]*service.Dispatcher{},
+		refusal:   st.refusal,
+		list:      st.list.Position(),
+		instances: st.list.Instances(),
+		drains:    st.drains,
 	}
 	if st.rules != nil {
 		snap.routing = rc.buildRouting(st, snap.services)
--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -12,7 +12,6 @@
 	"github.com/tarragonwell/tarragonwell/internal/peer"
 	"github.com/tarragonwell/tarragonwell/internal/service"
 	"github.com/tarragonwell/tarragonwell/internal/task"
-	"github.com/tarragonwell/tarragonwell/pkg/rulesfile"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/listing"
 	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/warmup"
@@ -53,11 +52,11 @@
 	routing *caller.Routing
 	// services contains the dispatchers, keyed by the name of their service.
 	services map[string]*service.Dispatcher
-	// listRevision is the revision of the platform's list; 0 before the first list.
-	listRevision uint64
-	instances    []tarragonwell.ListedInstance
-	refusal      refusal
-	drains       drainStatus
+	// list is the position of the platform's list; zero before the first list.
+	list      tarragonwell.ListPosition
+	instances []tarragonwell.ListedInstance
+	refusal   refusal
+	drains    drainStatus
 }
 
 // refusal describes the rules file that was refused last.
@@ -94,7 +93,7 @@
 	invalidEntries map[string]bool
 	// resyncing is set while the platform is read again after the process was paused.
 	resyncing bool
-	// newestHint is the hint with the highest revision that came during a fetch.
+	// newestHint is the hint with the latest position that came during a fetch.
 	newestHint listHint
 	// resumeBy is set if the services resume after the pause when the fetch of the list in
 	// progress has ended, and at this time at the latest; zero otherwise.
@@ -128,12 +127,12 @@
 	fetched fetchKind
 }
 
-// changesSinceMessage requests the changes of the list after a revision, with the rules
+// changesSinceMessage requests the changes of the list after a position, with the rules
 // if they are newer than the version.
 type changesSinceMessage struct {
-	revision uint64
-	rules    tarragonwell.RulesVersion
-	reply    chan<- tarragonwell.PlatformUpdate
+	since tarragonwell.ListPosition
+	rules tarragonwell.RulesVersion
+	reply chan<- tarragonwell.PlatformUpdate
 }
 
 // leavingAnnouncement is a peer's announcement that a target is leaving.
@@ -162,12 +161,12 @@
 
 // ChangesSince implements peer.PlatformData. It fails with task.ErrStopped or the error
 // of ctx.
-func (rc *reconciler) ChangesSince(ctx context.Context, revision uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
+func (rc *reconciler) ChangesSince(ctx context.Context, since tarragonwell.ListPosition, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
 	return task.Ask(ctx, rc.mailbox, func(reply chan<- tarragonwell.PlatformUpdate) any {
 		return changesSinceMessage{
-			revision: revision,
-			rules:    rules,
-			reply:    reply,
+			since: since,
+			rules: rules,
+			reply: reply,
 		}
 	})
 }
@@ -244,7 +243,7 @@
 			rc.resume(st)
 		}
 	case changesSinceMessage:
-		m.reply <- st.changesSince(rc.common.Clock.Now(), m.revision, m.rules)
+		m.reply <- st.changesSince(rc.common.Clock.Now(), m.since, m.rules)
 	case rulesHint:
 		rc.fetchRules(ctx, st, m)
 	case listHint:
@@ -277,17 +276,20 @@
 	return changed
 }
 
-// changesSince returns the changes of the list after a revision, with the rules in force
+// changesSince returns the changes of the list after a position, with the rules in force
 // if they are newer than the version. A refused file is left out: every instance refuses
 // it.
-func (st *reconcilerState) changesSince(now time.Time, revision uint64, rules tarragonwell.RulesVersion) tarragonwell.PlatformUpdate {
+func (st *reconcilerState) changesSince(now time.Time, since tarragonwell.ListPosition, rules tarragonwell.RulesVersion) tarragonwell.PlatformUpdate {
 	u := tarragonwell.PlatformUpdate{
-		List: st.list.ChangesSince(now, revision),
+		List: st.list.ChangesSince(now, since),
 	}
 	if st.version().After(rules) {
+		v := st.rules.Version
 		u.Rules = &tarragonwell.PublishedRules{
-			Revision: st.rules.Version.Revision,
-			Content:  st.rules.Content,
+			Generation: v.Generation,
+			Era:        v.Era,
+			Revision:   v.Revision,
+			Content:    st.rules.Content,
 		}
 	}
 	return u
@@ -297,11 +299,17 @@
 // have changed. Whether a file is valid depends only on its revision and bytes, so
 // that all instances agree.
 func (rc *reconciler) applyRules(st *reconcilerState, published *tarragonwell.PublishedRules, from string) bool {
-	v := rulesfile.VersionOf(published.Revision, published.Content)
+	v := published.Version()
 	current := st.version()
 	if v.Equal(current) || v.Equal(st.refusal.version) {
 		return false
 	}
+	if v.Generation == 0 {
+		// Peers of earlier releases send no generation.
+		_ = rc.common.Isolate("read the rules' generation", func() {
+			v.Generation = rc.platform.Generation(published.Content)
+		})
+	}
 	rc.recordConflict(st, v, from)
 	// For files from the platform, tests can switch this check off (package control)
 	// to prove that it is needed.
@@ -329,7 +337,7 @@
 		changed, ok = st.list.Apply(rc.common.Clock.Now(), rc.peers.Snapshot().PlatformConfirmedAt, c)
 	})
 	if !ok {
-		rc.common.Log.Warn("list change skips revisions", "since", c.Since, "have", st.list.Revision(), "from", from)
+		rc.common.Log.Warn("list change skips revisions", "since", c.Since, "have", st.list.Position().Revision, "from", from)
 	}
 	return changed
 }
--- a/internal/instance/rules.go
+++ b/internal/instance/rules.go
@@ -57,7 +57,7 @@
 // different content. The file with the greater digest wins on all instances.
 func (rc *reconciler) recordConflict(st *reconcilerState, v tarragonwell.RulesVersion, from string) {
 	current := st.version()
-	if st.rules == nil || v.Revision != current.Revision || v.Equal(st.conflict) {
+	if st.rules == nil || v.Era != current.Era || v.Revision != current.Revision || v.Equal(st.conflict) {
 		return
 	}
 	st.conflict = v
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -39,6 +39,8 @@
 		RefusedRevision: snap.refusal.version.Revision,
 		Refusal:         snap.refusal.reason,
 		Drains:          i.Drains(),
+		ListEra:         snap.list.Era,
+		ListRevision:    snap.list.Revision,
 	}
 	if set := i.reconciler.Rules(); set != nil {
 		out.RulesRevision = set.Version.Revision
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -43,6 +43,11 @@
 	return []tarragonwell.Feed{p}
 }
 
+// Generation implements tarragonwell.PlatformClient.
+func (*stopPlatform) Generation([]byte) uint64 {
+	return 0
+}
+
 // Watch implements tarragonwell.Feed.
 func (p *stopPlatform) Watch(ctx context.Context, after tarragonwell.PlatformPosition, wait time.Duration) (tarragonwell.PlatformUpdate, error) {
 	u, err := p.fakeStore.Watch(ctx, after, wait)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -128,13 +128,14 @@
 	return rulesFromProto(response.Msg), nil
 }
 
-// FetchList returns the changes after a revision, from a peer's copy of the platform's
+// FetchList returns the changes after a position, from a peer's copy of the platform's
 // list, and the peer's rules if they are newer than the version. The error wraps
 // ErrRequestFailed.
-func (p *Peers) FetchList(ctx context.Context, address string, since uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
+func (p *Peers) FetchList(ctx context.Context, address string, since tarragonwell.ListPosition, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
 	var none tarragonwell.PlatformUpdate
 	response, err := p.progressClient(address, fetchTimeout).FetchList(ctx, connect.NewRequest(&pb.FetchListRequest{
-		Since: since,
+		Era:   since.Era,
+		Since: since.Revision,
 		Rules: versionToProto(rules),
 	}))
 	if err != nil {
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -67,15 +67,19 @@
 
 func versionToProto(v tarragonwell.RulesVersion) *pb.RulesVersion {
 	return &pb.RulesVersion{
-		Revision: v.Revision,
-		Digest:   v.Digest,
+		Revision:   v.Revision,
+		Digest:     v.Digest,
+		Era:        v.Era,
+		Generation: v.Generation,
 	}
 }
 
 func versionFromProto(v *pb.RulesVersion) tarragonwell.RulesVersion {
 	return tarragonwell.RulesVersion{
-		Revision: v.GetRevision(),
-		Digest:   v.GetDigest(),
+		Generation: v.GetGeneration(),
+		Era:        v.GetEra(),
+		Revision:   v.GetRevision(),
+		Digest:     v.GetDigest(),
 	}
 }
 
--- a/internal/peer/freshness.go
+++ b/internal/peer/freshness.go
@@ -30,8 +30,8 @@
 	return confirmation{
 		at: now.Add(-g.platformAge),
 		position: tarragonwell.PlatformPosition{
-			Rules: g.rules.GetRevision(),
-			List:  g.listRevision,
+			Rules: versionFromProto(g.rules),
+			List:  g.list,
 		},
 		relay:     g.relay,
 		relayRoot: g.relayRoot,
@@ -54,12 +54,13 @@
 }
 
 // record accepts a confirmation that is later than the latest one. It remains
-// pending if it covers data after the processed position.
+// pending if it covers data after the processed position. One of an earlier era is ignored:
+// what it covers has been replaced.
 func (f *freshness) record(processed tarragonwell.PlatformPosition, c confirmation) {
-	if !c.at.After(f.latest.at) {
+	if !c.at.After(f.latest.at) || c.position.List.Era < processed.List.Era {
 		return
 	}
-	if c.position.Rules > processed.Rules || c.position.List > processed.List {
+	if !covers(processed, c.position) {
 		if c.at.After(f.pending.at) {
 			f.pending = c
 		}
@@ -74,7 +75,7 @@
 // shouldRelay reports whether a confirmation covers newer data than the last relayed
 // one or is later by at least minRelayGap.
 func (f *freshness) shouldRelay(c confirmation) bool {
-	return c.position.List > f.relayed.position.List || c.position.Rules > f.relayed.position.Rules ||
+	return !covers(f.relayed.position, c.position) ||
 		c.at.Sub(f.relayed.at) >= minRelayGap
 }
 
@@ -82,8 +83,14 @@
 // processed.
 func (f *freshness) applyPending(processed tarragonwell.PlatformPosition) {
 	c := f.pending
-	if !c.at.IsZero() && c.position.Rules <= processed.Rules && c.position.List <= processed.List {
+	if !c.at.IsZero() && covers(processed, c.position) {
 		f.pending = confirmation{}
 		f.record(processed, c)
 	}
 }
+
+// covers reports whether neither the rules nor the list of a position are later than those
+// processed.
+func covers(processed, p tarragonwell.PlatformPosition) bool {
+	return !p.Rules.After(processed.Rules) && !p.List.After(processed.List)
+}
--- a/internal/peer/freshness_test.go
+++ b/internal/peer/freshness_test.go
@@ -9,7 +9,9 @@
 
 func listPosition(list uint64) tarragonwell.PlatformPosition {
 	return tarragonwell.PlatformPosition{
-		List: list,
+		List: tarragonwell.ListPosition{
+			Revision: list,
+		},
 	}
 }
 
@@ -40,6 +42,39 @@
 	}
 }
 
+// TestConfirmationOfEarlierEra guards against an instance that counts as current because a peer
+// passes on a confirmation from before the platform came back from a copy of its data.
+func TestConfirmationOfEarlierEra(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	in := func(era, list uint64) tarragonwell.PlatformPosition {
+		return tarragonwell.PlatformPosition{
+			List: tarragonwell.ListPosition{
+				Era:      era,
+				Revision: list,
+			},
+		}
+	}
+	var f freshness
+	f.record(in(2, 40), confirmation{
+		at:       start,
+		position: in(1, 30),
+	})
+	if !f.latest.at.IsZero() {
+		t.Error("a confirmation of an earlier era counts")
+	}
+	f.record(in(1, 90), confirmation{
+		at:       start,
+		position: in(2, 40),
+	})
+	if !f.latest.at.IsZero() {
+		t.Error("a confirmation of a later era counts before its list was processed")
+	}
+	f.applyPending(in(2, 41))
+	if f.latest.at.IsZero() {
+		t.Error("a confirmation does not count after its list was processed")
+	}
+}
+
 // TestRelayIsRateLimited checks that confirmations from several readers are
 // not all relayed: two readers must not double the number of messages.
 func TestRelayIsRateLimited(t *testing.T) {
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -12,11 +12,11 @@
 // only the instance's own record as members and no suspicions of members.
 func (p *Peers) newGossip(now time.Time, st *state, brief bool) gossip {
 	g := gossip{
-		rules:        versionToProto(st.rules),
-		platformAge:  neverConfirmedAge,
-		listRevision: st.processed.List,
-		brief:        brief,
-		memberCount:  st.view.AliveCount(now) + 1,
+		rules:       versionToProto(st.rules),
+		platformAge: neverConfirmedAge,
+		list:        st.processed.List,
+		brief:       brief,
+		memberCount: st.view.AliveCount(now) + 1,
 	}
 	if !st.freshness.latest.at.IsZero() {
 		g.platformAge = now.Sub(st.freshness.latest.at)
--- a/internal/peer/list.go
+++ b/internal/peer/list.go
@@ -12,9 +12,7 @@
 		return nil
 	}
 	return &pb.FetchRulesResponse{
-		Version: &pb.RulesVersion{
-			Revision: r.Revision,
-		},
+		Version: versionToProto(r.Position()),
 		Content: r.Content,
 	}
 }
@@ -25,8 +23,10 @@
 		return nil
 	}
 	return &tarragonwell.PublishedRules{
-		Revision: m.GetVersion().GetRevision(),
-		Content:  m.GetContent(),
+		Generation: m.GetVersion().GetGeneration(),
+		Era:        m.GetVersion().GetEra(),
+		Revision:   m.GetVersion().GetRevision(),
+		Content:    m.GetContent(),
 	}
 }
 
@@ -36,6 +36,7 @@
 		return nil
 	}
 	m := &pb.ListChange{
+		Era:      c.Era,
 		Since:    c.Since,
 		Revision: c.Revision,
 	}
@@ -109,6 +110,7 @@
 		return nil
 	}
 	c := &tarragonwell.ListChange{
+		Era:      m.GetEra(),
 		Since:    m.GetSince(),
 		Revision: m.GetRevision(),
 	}
--- a/internal/peer/list_test.go
+++ b/internal/peer/list_test.go
@@ -39,11 +39,16 @@
 	Digest:   []byte{1},
 }
 
+// afterFirst is the position after the first revision.
+var afterFirst = tarragonwell.ListPosition{
+	Revision: 1,
+}
+
 // ChangesSince implements PlatformData.
-func (fixedData) ChangesSince(_ context.Context, revision uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
+func (fixedData) ChangesSince(_ context.Context, since tarragonwell.ListPosition, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error) {
 	u := tarragonwell.PlatformUpdate{
 		List: &tarragonwell.ListChange{
-			Since:    revision,
+			Since:    since.Revision,
 			Revision: 7,
 		},
 	}
@@ -76,7 +81,7 @@
 	mux.Handle(tarragonwellv1connect.NewPeerServiceHandler(earlierPeer{}))
 	p := newPeers(t, nil)
 	t.Cleanup(p.client.CloseIdleConnections)
-	u, err := p.FetchList(t.Context(), servePeer(t, mux), 1, tarragonwell.RulesVersion{})
+	u, err := p.FetchList(t.Context(), servePeer(t, mux), afterFirst, tarragonwell.RulesVersion{})
 	if !errors.Is(err, ErrRequestFailed) || u.List != nil {
 		t.Errorf("got %v and %v, want no list and ErrRequestFailed", u.List, err)
 	}
@@ -114,7 +119,7 @@
 			rules: fixedRules,
 		},
 	} {
-		u, err := p.FetchList(t.Context(), address, 1, x.rules)
+		u, err := p.FetchList(t.Context(), address, afterFirst, x.rules)
 		if err != nil || u.List == nil {
 			t.Fatalf("%s: got %v and %v, want a list", x.name, u.List, err)
 		}
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -41,7 +41,7 @@
 			Clock:   common.SystemClock{},
 		},
 		OnNewerRules:      func(string, tarragonwell.RulesVersion) {},
-		OnNewerList:       func(string, uint64) {},
+		OnNewerList:       func(string, tarragonwell.ListPosition) {},
 		OnTargetSuspected: func(string, string, time.Time) {},
 		OnTargetLeaving: func(tarragonwell.LeavingTarget, string) {
 			if onLeaving != nil {
@@ -113,7 +113,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
 			defer cancel()
-			if _, err := p.FetchList(ctx, address, 0, tarragonwell.RulesVersion{}); !errors.Is(err, ErrRequestFailed) {
+			if _, err := p.FetchList(ctx, address, tarragonwell.ListPosition{}, tarragonwell.RulesVersion{}); !errors.Is(err, ErrRequestFailed) {
 				t.Errorf("list: got %v, want ErrRequestFailed", err)
 			}
 			if got, want := time.Since(begin), 2*exchangeTimeout+grace; got > want {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -28,8 +28,9 @@
 	suspects []*pb.SuspectTarget
 	// platformAge is the time since the platform last confirmed, to any instance, that
 	// the sender's data is current; neverConfirmedAge if it never did.
-	platformAge  time.Duration
-	listRevision uint64
+	platformAge time.Duration
+	// list is the position of the list that the sender has processed.
+	list tarragonwell.ListPosition
 	// brief limits members to the sender's own record, also in the response.
 	brief      bool
 	suspicions []*pb.MemberSuspicion
@@ -129,7 +130,8 @@
 		Leaving:       g.leaving,
 		Suspects:      g.suspects,
 		PlatformAgeMs: toMillis(g.platformAge),
-		ListRevision:  g.listRevision,
+		ListRevision:  g.list.Revision,
+		ListEra:       g.list.Era,
 		Brief:         g.brief,
 		Relay:         g.relay,
 		RelayRoot:     g.relayRoot,
@@ -147,7 +149,8 @@
 		Leaving:       g.leaving,
 		Suspects:      g.suspects,
 		PlatformAgeMs: toMillis(g.platformAge),
-		ListRevision:  g.listRevision,
+		ListRevision:  g.list.Revision,
+		ListEra:       g.list.Era,
 		Suspicions:    g.suspicions,
 		MemberCount:   uint32(g.memberCount),
 	}
@@ -162,6 +165,7 @@
 	GetSuspects() []*pb.SuspectTarget
 	GetPlatformAgeMs() uint32
 	GetListRevision() uint64
+	GetListEra() uint64
 	GetSuspicions() []*pb.MemberSuspicion
 	GetMemberCount() uint32
 }
@@ -169,14 +173,17 @@
 // gossipFromProto returns the part of gossip that requests and responses share.
 func gossipFromProto(m gossipProto) gossip {
 	return gossip{
-		members:      m.GetMembers(),
-		rules:        m.GetRules(),
-		holders:      m.GetHolders(),
-		leaving:      m.GetLeaving(),
-		suspects:     m.GetSuspects(),
-		platformAge:  fromMillis(m.GetPlatformAgeMs()),
-		listRevision: m.GetListRevision(),
-		suspicions:   m.GetSuspicions(),
-		memberCount:  int(m.GetMemberCount()),
+		members:     m.GetMembers(),
+		rules:       m.GetRules(),
+		holders:     m.GetHolders(),
+		leaving:     m.GetLeaving(),
+		suspects:    m.GetSuspects(),
+		platformAge: fromMillis(m.GetPlatformAgeMs()),
+		list: tarragonwell.ListPosition{
+			Era:      m.GetListEra(),
+			Revision: m.GetListRevision(),
+		},
+		suspicions:  m.GetSuspicions(),
+		memberCount: int(m.GetMemberCount()),
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -36,10 +36,10 @@
 type PlatformData interface {
 	// Rules returns the rules in force, or nil if there are none yet.
 	Rules() *tarragonwell.RuleSet
-	// ChangesSince returns the changes to the platform's list after a revision, with the
+	// ChangesSince returns the changes to the platform's list after a position, with the
 	// rules that belong to them if they are newer than the version. The list is nil if
 	// there is none yet.
-	ChangesSince(ctx context.Context, revision uint64, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error)
+	ChangesSince(ctx context.Context, since tarragonwell.ListPosition, rules tarragonwell.RulesVersion) (tarragonwell.PlatformUpdate, error)
 }
 
 // Server serves the requests of peers.
@@ -124,10 +124,14 @@
 	}), nil
 }
 
-// FetchList responds with the changes after a revision, from the latest list that the
+// FetchList responds with the changes after a position, from the latest list that the
 // instance has, and with the rules in force if the peer has older ones.
 func (s *Server) FetchList(ctx context.Context, r *connect.Request[pb.FetchListRequest]) (*connect.Response[pb.FetchListResponse], error) {
-	update, err := s.PlatformData.ChangesSince(ctx, r.Msg.GetSince(), versionFromProto(r.Msg.GetRules()))
+	since := tarragonwell.ListPosition{
+		Era:      r.Msg.GetEra(),
+		Revision: r.Msg.GetSince(),
+	}
+	update, err := s.PlatformData.ChangesSince(ctx, since, versionFromProto(r.Msg.GetRules()))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
--- a/internal/peer/task.go
+++ b/internal/peer/task.go
@@ -60,7 +60,7 @@
 	OnNewerRules func(from string, v tarragonwell.RulesVersion)
 	// OnNewerList is called with the address of a peer that has a newer list. It must
 	// not block.
-	OnNewerList func(from string, revision uint64)
+	OnNewerList func(from string, position tarragonwell.ListPosition)
 	// OnTargetSuspected is called when a peer announces that the target with the given
 	// ID is unresponsive or failing.
 	OnTargetSuspected func(service, id string, expiresAt time.Time)
@@ -356,8 +356,8 @@
 	if v := versionFromProto(g.rules); v.After(st.rules) {
 		p.options.OnNewerRules(from, v)
 	}
-	if g.listRevision > st.processed.List {
-		p.options.OnNewerList(from, g.listRevision)
+	if g.list.After(st.processed.List) {
+		p.options.OnNewerList(from, g.list)
 	}
 	return push
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -71,6 +71,11 @@
 	return rulesfile.Parse(rulesFileName, p.Revision, p.Content)
 }
 
+// Generation implements tarragonwell.PlatformClient. A rules file has none.
+func (*Client) Generation([]byte) uint64 {
+	return 0
+}
+
 // rulesFeed watches the rules file.
 type rulesFeed struct {
 	client *Client
@@ -89,7 +94,7 @@
 // Watch implements tarragonwell.Feed.
 func (f *rulesFeed) Watch(ctx context.Context, after tarragonwell.PlatformPosition, wait time.Duration) (tarragonwell.PlatformUpdate, error) {
 	var m pb.PublishedRules
-	changed, err := f.client.watch(ctx, rulesPath, after.Rules, wait, &m)
+	changed, err := f.client.watch(ctx, rulesPath, after.Rules.Revision, wait, &m)
 	if !changed {
 		return tarragonwell.PlatformUpdate{}, err
 	}
@@ -119,7 +124,7 @@
 // Watch implements tarragonwell.Feed.
 func (f *listFeed) Watch(ctx context.Context, after tarragonwell.PlatformPosition, wait time.Duration) (tarragonwell.PlatformUpdate, error) {
 	var m pb.InstanceList
-	changed, err := f.client.watch(ctx, instancesPath, after.List, wait, &m)
+	changed, err := f.client.watch(ctx, instancesPath, after.List.Revision, wait, &m)
 	if !changed {
 		return tarragonwell.PlatformUpdate{}, err
 	}
--- a/pkg/tarragonwell/interfaces.go
+++ b/pkg/tarragonwell/interfaces.go
@@ -26,8 +26,11 @@
 	// Feeds returns the feeds. The caller watches each in a goroutine of its own.
 	Feeds() []Feed
 	// ParseRules parses and validates published rules. The result depends only on
-	// the revision and the bytes, so that all instances agree.
+	// the version and the bytes, so that all instances agree.
 	ParseRules(p *PublishedRules) (*RuleSet, error)
+	// Generation returns the RulesVersion.Generation of rules with the given content, which
+	// may be invalid; 0 if they have none.
+	Generation(content []byte) uint64
 }
 
 // Feed is a part of the platform's data that is watched with long polling, one
@@ -39,9 +42,9 @@
 	// one and returns an empty update once the wait is over. With the zero position
 	// it returns all data at once.
 	Watch(ctx context.Context, after PlatformPosition, wait time.Duration) (PlatformUpdate, error)
-	// MayRegress reports whether the platform may return to earlier revisions, as
-	// after a restore from a backup, and then reuse a revision for other data. A watch
-	// after that revision misses this data, so such a feed is also read in full at
+	// MayRegress reports whether the platform may return to earlier revisions without a
+	// new era, as after a restore from a backup, and then reuse a revision for other data. A
+	// watch after that revision misses this data, so such a feed is also read in full at
 	// intervals. Even in a full read, data with a lower revision than the data already
 	// applied is ignored.
 	MayRegress() bool
--- a/pkg/tarragonwell/listing/drains_test.go
+++ b/pkg/tarragonwell/listing/drains_test.go
@@ -80,9 +80,9 @@
 					ended: rapid.Bool().Draw(t, "ended"),
 				})
 			case "read":
-				c = h.read(to.Revision(), uint64(len(h)))
+				c = h.read(to.Position().Revision, uint64(len(h)))
 			case "ask a peer":
-				c = lists[rapid.IntRange(0, len(lists)-1).Draw(t, "from")].ChangesSince(start, to.Revision())
+				c = lists[rapid.IntRange(0, len(lists)-1).Draw(t, "from")].ChangesSince(start, to.Position())
 			case "repeat":
 				if len(sent) > 0 {
 					c = rapid.SampledFrom(sent).Draw(t, "change")
@@ -96,8 +96,8 @@
 				continue
 			}
 			to.Apply(start, start, c)
-			if got, want := to.Drains(), h.inForce(to.Revision()); !slices.Equal(got, want) {
-				t.Fatalf("at revision %d: got %v in force, want %v", to.Revision(), got, want)
+			if got, want := to.Drains(), h.inForce(to.Position().Revision); !slices.Equal(got, want) {
+				t.Fatalf("at revision %d: got %v in force, want %v", to.Position().Revision, got, want)
 			}
 		}
 	})
@@ -120,7 +120,10 @@
 			},
 		})
 	}
-	if got, want := l.ChangesSince(start, 2).Since, uint64(0); got != want {
+	since := tarragonwell.ListPosition{
+		Revision: 2,
+	}
+	if got, want := l.ChangesSince(start, since).Since, uint64(0); got != want {
 		t.Errorf("got the changes since %d, want the full list", got)
 	}
 }
@@ -132,7 +135,7 @@
 	marked := target("a", 1)
 	marked.Drained = true
 	apply(t, &l, start, fullList(1, marked))
-	if l.Targets()["s"][0].Drained || l.ChangesSince(start, 0).Targets[0].Drained {
+	if l.Targets()["s"][0].Drained || l.ChangesSince(start, tarragonwell.ListPosition{}).Targets[0].Drained {
 		t.Error("the entry is marked as drained, want no mark")
 	}
 }
--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -36,7 +36,8 @@
 // Listing is an instance's copy of the platform's list. It is not safe for concurrent
 // use: one goroutine owns it. The zero value is empty.
 type Listing struct {
-	revision uint64
+	// position is that of the latest change.
+	position tarragonwell.ListPosition
 	// targets holds the entries by target ID; nil before the first change.
 	targets   map[string]*entry
 	instances []tarragonwell.ListedInstance
@@ -44,7 +45,7 @@
 	removals []tarragonwell.RemovedTarget
 	// removalsSince is the revision after which removals is complete.
 	removalsSince uint64
-	// drains holds the drains of data centres, as of revision.
+	// drains holds the drains of data centres, as of position.
 	drains drains.Set
 }
 
@@ -60,9 +61,9 @@
 	afterOutage bool
 }
 
-// Revision returns the revision of the latest change; 0 before the first.
-func (l *Listing) Revision() uint64 {
-	return l.revision
+// Position returns the position of the latest change; zero before the first.
+func (l *Listing) Position() tarragonwell.ListPosition {
+	return l.position
 }
 
 // Instances returns the listed instances of tarragonwell, of the latest full list.
@@ -80,10 +81,10 @@
 // confirmedAt is when the list was last confirmed to be up to date; now is used instead
 // if it is zero or later than now.
 func (l *Listing) Apply(now, confirmedAt time.Time, c *tarragonwell.ListChange) (changed, ok bool) {
-	if c.Since > l.revision {
+	if c.Since > l.position.Revision {
 		return false, false
 	}
-	if c.Revision < l.revision || (c.Revision == l.revision && l.targets != nil) {
+	if c.Revision < l.position.Revision || (c.Revision == l.position.Revision && l.targets != nil) {
 		return false, true
 	}
 	if l.targets == nil {
@@ -97,7 +98,7 @@
 	} else {
 		l.merge(now, confirmedAt, c)
 	}
-	l.revision = c.Revision
+	l.position = c.Position()
 	return true, true
 }
 
@@ -126,7 +127,7 @@
 		l.put(now, t)
 	}
 	for _, r := range c.Removed {
-		if r.Revision <= l.revision {
+		if r.Revision <= l.position.Revision {
 			continue
 		}
 		if e := l.targets[r.ID]; e != nil && e.target.Revision < r.Revision {
@@ -260,18 +261,20 @@
 	return out
 }
 
-// ChangesSince returns the changes after a revision, or the full list if the removals
+// ChangesSince returns the changes after a position, or the full list if the removals
 // since then are no longer retained, with the warm-up times that remain. It returns nil
 // before the first change.
-func (l *Listing) ChangesSince(now time.Time, revision uint64) *tarragonwell.ListChange {
+func (l *Listing) ChangesSince(now time.Time, since tarragonwell.ListPosition) *tarragonwell.ListChange {
 	if l.targets == nil {
 		return nil
 	}
+	revision := since.Revision
 	c := &tarragonwell.ListChange{
+		Era:      l.position.Era,
 		Since:    revision,
-		Revision: l.revision,
+		Revision: l.position.Revision,
 	}
-	if revision < max(l.removalsSince, l.drains.EndedSince()) || revision > l.revision || !l.canComputeChanges() {
+	if revision < max(l.removalsSince, l.drains.EndedSince()) || revision > l.position.Revision || !l.canComputeChanges() {
 		c.Since = 0
 		c.Instances = l.instances
 	}
--- a/pkg/tarragonwell/listing/listing_test.go
+++ b/pkg/tarragonwell/listing/listing_test.go
@@ -32,7 +32,7 @@
 func apply(t *testing.T, l *Listing, now time.Time, c *tarragonwell.ListChange) {
 	t.Helper()
 	if _, ok := l.Apply(now, now, c); !ok {
-		t.Fatalf("change since %d rejected at revision %d", c.Since, l.Revision())
+		t.Fatalf("change since %d rejected at revision %d", c.Since, l.Position().Revision)
 	}
 }
 
@@ -147,7 +147,7 @@
 				return
 			}
 			if _, ok := l.Apply(start, start, c); !ok {
-				t.Fatalf("change since %d rejected at revision %d", c.Since, l.Revision())
+				t.Fatalf("change since %d rejected at revision %d", c.Since, l.Position().Revision)
 			}
 		}
 		apply(&origin, fullList(1, target("t0", 1)))
@@ -169,14 +169,14 @@
 			}
 			apply(&origin, c)
 			if rapid.IntRange(0, 3).Draw(t, "reader reads") == 0 {
-				apply(&reader, origin.ChangesSince(start, reader.Revision()))
+				apply(&reader, origin.ChangesSince(start, reader.Position()))
 			}
 			if rapid.IntRange(0, 3).Draw(t, "follower fetches") == 0 {
-				apply(&follower, reader.ChangesSince(start, follower.Revision()))
+				apply(&follower, reader.ChangesSince(start, follower.Position()))
 			}
 		}
-		apply(&reader, origin.ChangesSince(start, reader.Revision()))
-		apply(&follower, reader.ChangesSince(start, follower.Revision()))
+		apply(&reader, origin.ChangesSince(start, reader.Position()))
+		apply(&follower, reader.ChangesSince(start, follower.Position()))
 		later := start.Add(time.Minute)
 		for _, l := range []*Listing{&origin, &reader, &follower} {
 			l.DropRemoved(later)
@@ -206,7 +206,7 @@
 	apply(t, &l, start, fullList(5, warming))
 	apply(t, &l, later, fullList(6, warming))
 	until(&l, start.Add(3*time.Second))
-	apply(t, &follower, later, l.ChangesSince(later, 0))
+	apply(t, &follower, later, l.ChangesSince(later, tarragonwell.ListPosition{}))
 	until(&follower, start.Add(3*time.Second))
 	warming.Revision, warming.WarmUpRemaining = 7, 1000*time.Hour
 	apply(t, &l, later, fullList(7, warming))
--- a/pkg/tarragonwell/membership/bootstrap.go
+++ b/pkg/tarragonwell/membership/bootstrap.go
@@ -16,18 +16,18 @@
 type BootstrapState struct {
 	// RulesInForce is the version of the rules in force; zero for none.
 	RulesInForce tarragonwell.RulesVersion
-	// ListRevision is the revision of the applied list of targets; 0 for none.
-	ListRevision uint64
+	// List is the position of the applied list of targets; zero for none.
+	List tarragonwell.ListPosition
 	// PlatformPosition is the position up to which the instance itself has read the
 	// platform. It stays zero if the platform's data may regress; see
 	// tarragonwell.Feed.
 	PlatformPosition tarragonwell.PlatformPosition
 	// NewestRules is the newest version of the rules that any peer has reported.
 	NewestRules tarragonwell.RulesVersion
-	// PeersDrawnFromRevision is the revision of the list from which the peers of the
-	// latest gossip round were drawn. It is 0 if there was no list yet: peers may then
-	// exist even if PeersContacted is 0.
-	PeersDrawnFromRevision uint64
+	// PeersDrawnFrom is the position of the list from which the peers of the latest gossip
+	// round were drawn. It is zero if there was no list yet: peers may then exist even if
+	// PeersContacted is 0.
+	PeersDrawnFrom tarragonwell.ListPosition
 	// PeersContacted counts the peers contacted in the latest gossip round.
 	PeersContacted int
 	// PeersResponded counts those of PeersContacted that responded.
@@ -49,15 +49,16 @@
 	if b.Elapsed > bootstrapTimeout {
 		return true
 	}
-	if b.ListRevision == 0 {
+	if b.List == (tarragonwell.ListPosition{}) {
 		return false
 	}
-	noPeers := b.PeersDrawnFromRevision > 0 && b.PeersContacted == 0
+	noPeers := b.PeersDrawnFrom != (tarragonwell.ListPosition{}) && b.PeersContacted == 0
 	return b.caughtUpWithPlatform() || b.PeersResponded > 0 || noPeers
 }
 
 // caughtUpWithPlatform reports whether the instance has applied everything that it
 // read from the platform. It returns false if the platform's data may regress.
 func (b *BootstrapState) caughtUpWithPlatform() bool {
-	return b.PlatformPosition.List > 0 && b.ListRevision >= b.PlatformPosition.List && b.RulesInForce.Revision >= b.PlatformPosition.Rules
+	read := b.PlatformPosition
+	return read.List != (tarragonwell.ListPosition{}) && !read.List.After(b.List) && !read.Rules.After(b.RulesInForce)
 }
--- a/pkg/tarragonwell/membership/bootstrap_test.go
+++ b/pkg/tarragonwell/membership/bootstrap_test.go
@@ -14,6 +14,11 @@
 			Digest:   []byte{1},
 		}
 	}
+	list := func(n uint64) tarragonwell.ListPosition {
+		return tarragonwell.ListPosition{
+			Revision: n,
+		}
+	}
 	tests := []struct {
 		name  string
 		state BootstrapState
@@ -25,18 +30,18 @@
 		{
 			name: "no rules after the bootstrap timeout",
 			state: BootstrapState{
-				ListRevision: 5,
-				Elapsed:      time.Minute,
+				List:    list(5),
+				Elapsed: time.Minute,
 			},
 		},
 		{
 			name: "caught up with the platform, no peer responds",
 			state: BootstrapState{
 				RulesInForce: version(3),
-				ListRevision: 5,
+				List:         list(5),
 				PlatformPosition: tarragonwell.PlatformPosition{
-					Rules: 3,
-					List:  5,
+					Rules: version(3),
+					List:  list(5),
 				},
 				PeersContacted: 2,
 			},
@@ -46,10 +51,10 @@
 			name: "rules from a peer, list of the platform not yet applied",
 			state: BootstrapState{
 				RulesInForce: version(3),
-				ListRevision: 4,
+				List:         list(4),
 				PlatformPosition: tarragonwell.PlatformPosition{
-					Rules: 3,
-					List:  5,
+					Rules: version(3),
+					List:  list(5),
 				},
 				PeersContacted: 2,
 			},
@@ -58,10 +63,10 @@
 			name: "a peer has newer rules than the platform",
 			state: BootstrapState{
 				RulesInForce: version(3),
-				ListRevision: 5,
+				List:         list(5),
 				PlatformPosition: tarragonwell.PlatformPosition{
-					Rules: 3,
-					List:  5,
+					Rules: version(3),
+					List:  list(5),
 				},
 				NewestRules:    version(4),
 				PeersContacted: 2,
@@ -72,7 +77,7 @@
 			name: "rules and list from a peer, platform unreachable",
 			state: BootstrapState{
 				RulesInForce:   version(3),
-				ListRevision:   5,
+				List:           list(5),
 				NewestRules:    version(3),
 				PeersContacted: 2,
 				PeersResponded: 1,
@@ -92,7 +97,7 @@
 			name: "no peer responds, the platform may regress",
 			state: BootstrapState{
 				RulesInForce:   version(3),
-				ListRevision:   5,
+				List:           list(5),
 				PeersContacted: 2,
 			},
 		},
@@ -109,15 +114,15 @@
 			name: "no peer was contacted, peers were drawn before the list was known",
 			state: BootstrapState{
 				RulesInForce: version(3),
-				ListRevision: 5,
+				List:         list(5),
 			},
 		},
 		{
 			name: "no peers on the list",
 			state: BootstrapState{
-				RulesInForce:           version(3),
-				ListRevision:           5,
-				PeersDrawnFromRevision: 5,
+				RulesInForce:   version(3),
+				List:           list(5),
+				PeersDrawnFrom: list(5),
 			},
 			want: true,
 		},
--- a/pkg/tarragonwell/published.go
+++ b/pkg/tarragonwell/published.go
@@ -1,12 +1,33 @@
 package tarragonwell
 
-import "time"
+import (
+	"cmp"
+	"crypto/sha256"
+	"time"
+)
 
-// PlatformPosition is a pair of revisions of the platform's data. The field or
-// parameter that holds it states whether they were published, read or processed.
+// PlatformPosition is a position in the history of the platform's data. The field or
+// parameter that holds it states whether the data was published, read or processed.
 type PlatformPosition struct {
-	Rules uint64
-	List  uint64
+	// Rules may lack its digest.
+	Rules RulesVersion
+	List  ListPosition
+}
+
+// ListPosition is a position in the history of the platform's list. The zero value is
+// before the first list.
+type ListPosition struct {
+	// Era rises by one each time the platform has come back from a copy of its data. Its
+	// revisions then go back, and are given out again for other changes. It is 0 if the
+	// platform states none.
+	Era uint64
+	// Revision orders the positions of one era.
+	Revision uint64
+}
+
+// After reports whether p is the later position.
+func (p ListPosition) After(q ListPosition) bool {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision)) > 0
 }
 
 // PlatformUpdate is the result of one read from the platform.
@@ -32,12 +53,34 @@
 // PublishedRules is a rules file as read from the platform or a peer, not yet
 // parsed.
 type PublishedRules struct {
-	Revision uint64
-	Content  []byte
+	// Generation, Era and Revision are those of RulesVersion.
+	Generation uint64
+	Era        uint64
+	Revision   uint64
+	Content    []byte
+}
+
+// Version returns the version of the rules.
+func (p *PublishedRules) Version() RulesVersion {
+	v := p.Position()
+	digest := sha256.Sum256(p.Content)
+	v.Digest = digest[:]
+	return v
+}
+
+// Position returns the version of the rules without its digest.
+func (p *PublishedRules) Position() RulesVersion {
+	return RulesVersion{
+		Generation: p.Generation,
+		Era:        p.Era,
+		Revision:   p.Revision,
+	}
 }
 
 // ListChange is a change of the platform's list of targets and instances.
 type ListChange struct {
+	// Era is that of all revisions in the change; see ListPosition.
+	Era uint64
 	// Since is the revision that the change applies to, or 0 if the change is a
 	// full list.
 	Since uint64
@@ -55,6 +98,14 @@
 	EndedDrains []DataCenterDrain
 }
 
+// Position returns the position of the list once the change is applied.
+func (c *ListChange) Position() ListPosition {
+	return ListPosition{
+		Era:      c.Era,
+		Revision: c.Revision,
+	}
+}
+
 // DataCenterDrain is the platform's entry that takes a data centre out of service.
 type DataCenterDrain struct {
 	DataCenter string
--- a/pkg/tarragonwell/rules.go
+++ b/pkg/tarragonwell/rules.go
@@ -2,13 +2,21 @@
 
 import (
 	"bytes"
+	"cmp"
 	"time"
 )
 
-// RulesVersion orders rules files. The higher revision wins. Of two files with
-// the same revision the one with the greater digest wins, so that all instances
-// agree.
+// RulesVersion orders rules files. The higher generation wins, then the later era, then
+// the higher revision. Of two files that share all of them the one with the greater digest
+// wins, so that all instances agree.
 type RulesVersion struct {
+	// Generation is the number that the operators gave the rules, which rises with every
+	// change. Unlike a revision it does not go back when the platform comes back from a copy
+	// of its data, in which the latest rules may be missing. It is 0 if the format has none,
+	// and in messages of earlier releases; it then does not count.
+	Generation uint64
+	// Era is the era of Revision; see ListPosition.
+	Era      uint64
 	Revision uint64
 	// Digest is the SHA-256 of the file's bytes.
 	Digest []byte
@@ -16,15 +24,15 @@
 
 // After reports whether v takes precedence over w.
 func (v RulesVersion) After(w RulesVersion) bool {
-	if v.Revision != w.Revision {
-		return v.Revision > w.Revision
+	if v.Generation != w.Generation && v.Generation > 0 && w.Generation > 0 {
+		return v.Generation > w.Generation
 	}
-	return bytes.Compare(v.Digest, w.Digest) > 0
+	return cmp.Or(cmp.Compare(v.Era, w.Era), cmp.Compare(v.Revision, w.Revision), bytes.Compare(v.Digest, w.Digest)) > 0
 }
 
 // Equal reports whether v and w identify the same file.
 func (v RulesVersion) Equal(w RulesVersion) bool {
-	return v.Revision == w.Revision && bytes.Equal(v.Digest, w.Digest)
+	return v.Era == w.Era && v.Revision == w.Revision && bytes.Equal(v.Digest, w.Digest)
 }
 
 // RuleSet is the parsed form of published rules. It is not modified after it has been
--- /dev/null
+++ b/test/soak/era_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/test/fleet"
+)
+
+const (
+	// copyAge is how old the copy is from which the store comes back, and awayFor how long it
+	// is away.
+	copyAge = 5 * time.Second
+	awayFor = time.Second
+)
+
+// runThroughDrill runs a fleet under load. Its operators change the rules three times, then the
+// store comes back from a copy from before these changes, and change runs. It returns the
+// broken promises.
+func runThroughDrill(t *testing.T, seed uint64, change func(in *injector)) []string {
+	t.Helper()
+	folder := t.TempDir()
+	program, err := fleet.Build(folder, "tarragonwell", ".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := newEnvironment(program, folder, seed, 3, 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.close()
+	c := &clients{
+		environment: e,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		c.run(ctx, seed, 6)
+		close(done)
+	}()
+	in := &injector{
+		environment: e,
+	}
+	// The copy is from after the start of the fleet.
+	time.Sleep(copyAge)
+	for range 3 {
+		in.switchReads(nil, nil, 0, 0)
+		time.Sleep(time.Second)
+	}
+	in.recordFaultOnAll()
+	e.store.Drill(copyAge, awayFor, 0)
+	in.recordFaultOnAll()
+	time.Sleep(2 * time.Second)
+	change(in)
+	recovered := time.Now()
+	time.Sleep(recoveryTime)
+	cancel()
+	<-done
+	return check(e, in, c.requests, recovered)
+}
+
+// TestRulesAfterDrill guards against rules that never come into force because the store, which
+// came back from a copy, gives them a revision before that of the rules in force.
+func TestRulesAfterDrill(t *testing.T) {
+	for _, v := range runThroughDrill(t, 110, func(in *injector) { in.switchReads(nil, nil, 0, 0) }) {
+		t.Error(v)
+	}
+}
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -75,7 +75,7 @@
 			time.Sleep(pollInterval)
 			continue
 		}
-		position.List = p.List.Revision
+		position.List = p.List.Position()
 		var live []string
 		for _, i := range p.List.Instances {
 			if !i.Leaving {
--- a/test/standin/prepared/store.go
+++ b/test/standin/prepared/store.go
@@ -44,12 +44,18 @@
 // pageSize is the maximum number of items in a page of a range response.
 const pageSize = 20
 
+// FirstEra is the era before the first drill.
+const FirstEra = 1
+
 // item is an entry of the store, as sent to clients.
 type item struct {
 	Key       string `json:"key"`
 	Value     []byte `json:"value,omitempty"`
 	Rev       uint64 `json:"rev"`
 	Tombstone bool   `json:"tombstone,omitempty"`
+
+	// at is when it was written.
+	at time.Time
 }
 
 // Store is the stand-in for the platform's store, created by NewStore.
@@ -59,16 +65,26 @@
 	// BytesPerSecond bounds the bandwidth of all responses together; 0 for no limit.
 	BytesPerSecond float64
 
+	// drills is held during a drill, until what was lost has been written again.
+	drills sync.Mutex
+
 	mu       sync.Mutex
 	revision uint64
+	// era rises by one with each drill.
+	era      uint64
+	eraBegan time.Time
 	items    map[string]item
+	// log holds all changes of the era, and of those before as far as its copy has them.
+	log []item
 	// events holds all changes after compactedRevision.
 	events []item
 	// compactedRevision is the revision up to which the history was dropped.
 	compactedRevision uint64
 	// changed is closed and replaced on each change.
 	changed chan struct{}
-	fault   Fault
+	// away is set while the store is away in a drill. Writers wait until it is back.
+	away  bool
+	fault Fault
 	// faultyHosts holds the client hosts that fault applies to; empty for all.
 	faultyHosts map[string]bool
 	calls       uint64
@@ -79,6 +95,7 @@
 func NewStore(address string) *Store {
 	return &Store{
 		Address: address,
+		era:     FirstEra,
 		items:   map[string]item{},
 		changed: make(chan struct{}),
 	}
@@ -137,17 +154,40 @@
 func (s *Store) write(i item) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for s.away {
+		changed := s.changed
+		s.mu.Unlock()
+		<-changed
+		s.mu.Lock()
+	}
+	return s.apply(i)
+}
+
+// apply makes a change and wakes the watches; mu must be held.
+func (s *Store) apply(i item) uint64 {
 	s.revision++
 	i.Rev = s.revision
+	i.at = time.Now()
+	s.put(i)
+	s.events = append(s.events, i)
+	s.log = append(s.log, i)
+	s.wake()
+	return s.revision
+}
+
+// put puts a change into items; mu must be held.
+func (s *Store) put(i item) {
 	if i.Tombstone {
 		delete(s.items, i.Key)
 	} else {
 		s.items[i.Key] = i
 	}
-	s.events = append(s.events, i)
+}
+
+// wake wakes the watches; mu must be held.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.revision
 }
 
 // Compact drops the history, so that watches from before it get status 410.
@@ -187,7 +227,12 @@
 		if len(s.faultyHosts) > 0 && !s.faultyHosts[host] {
 			fault = FaultNone
 		}
+		if s.away {
+			fault = FaultUnavailable
+		}
+		era := s.era
 		s.mu.Unlock()
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 		switch fault {
 		case FaultUnavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -241,9 +286,14 @@
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer limit.Stop()
+	era := uint64(0)
 	for {
 		s.mu.Lock()
-		compacted := after < s.compactedRevision
+		if era == 0 {
+			era = s.era
+		}
+		cut := s.away || s.era != era
+		compacted := after < s.compactedRevision || after > s.revision
 		at := s.revision
 		changed := s.changed
 		var events []item
@@ -253,6 +303,9 @@
 			}
 		}
 		s.mu.Unlock()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
 		if compacted {
 			w.WriteHeader(http.StatusGone)
 			return
