Begin a new list with each era of the store

Change: a later era begins with its full list, whatever its revision, and a change of an earlier one is ignored. What the copy lacks is bridged until it is written again: missing targets and drains stay, and targets that were leaving or gone don't come back into use because the copy lists them.

--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -332,6 +332,7 @@
 
 // applyList applies a change of the list and reports whether the list has changed.
 func (rc *reconciler) applyList(st *reconcilerState, c *tarragonwell.ListChange, from string) bool {
+	before := st.list.Position()
 	changed, ok := false, true
 	_ = rc.common.Isolate("apply list", func() {
 		changed, ok = st.list.Apply(rc.common.Clock.Now(), rc.peers.Snapshot().PlatformConfirmedAt, c)
@@ -339,6 +340,9 @@
 	if !ok {
 		rc.common.Log.Warn("list change skips revisions", "since", c.Since, "have", st.list.Position().Revision, "from", from)
 	}
+	if changed && c.Era > before.Era && before.Revision > 0 {
+		rc.recordEra(st, before, from)
+	}
 	return changed
 }
 
--- /dev/null
+++ b/pkg/tarragonwell/listing/era_test.go
@@ -0,0 +1,176 @@
+package listing
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell"
+)
+
+// listedAt returns an entry of one start of a target.
+func listedAt(id string, revision uint64, leaving bool) tarragonwell.ListedTarget {
+	return tarragonwell.ListedTarget{
+		ID:       id,
+		Service:  "s",
+		Address:  "10.0.0.1:80",
+		Born:     7,
+		Leaving:  leaving,
+		Revision: revision,
+	}
+}
+
+// drained returns the drain of a data centre.
+func drained(name string, revision uint64) []tarragonwell.DataCenterDrain {
+	return []tarragonwell.DataCenterDrain{
+		{
+			DataCenter: name,
+			Revision:   revision,
+		},
+	}
+}
+
+// usable returns the IDs of the targets that receive calls.
+func usable(l *Listing) []string {
+	var out []string
+	for _, t := range l.Targets()["s"] {
+		if !t.Leaving && !t.Delisted {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
+
+// TestEraBegins guards against a list that stays with the changes of an earlier era, or loses what
+// the copy with which an era begins has forgotten: targets that live, drains in force, and that a
+// target is leaving or gone.
+func TestEraBegins(t *testing.T) {
+	begin := time.Unix(1_000_000, 0)
+	var l Listing
+	step := func(c *tarragonwell.ListChange) {
+		t.Helper()
+		if changed, ok := l.Apply(begin, begin, c); !changed || !ok {
+			t.Fatalf("change %+v: got changed %t, ok %t, want both", c, changed, ok)
+		}
+	}
+	step(&tarragonwell.ListChange{
+		Era:      1,
+		Revision: 100,
+		Targets: []tarragonwell.ListedTarget{
+			listedAt("gone", 80, false), listedAt("leaving", 81, false), listedAt("stays", 82, false),
+		},
+	})
+	step(&tarragonwell.ListChange{
+		Era:      1,
+		Since:    100,
+		Revision: 120,
+		Targets:  []tarragonwell.ListedTarget{listedAt("new", 110, false), listedAt("leaving", 111, true)},
+		Removed: []tarragonwell.RemovedTarget{
+			{
+				ID:       "gone",
+				Revision: 112,
+			},
+		},
+		Drains: drained("north", 113),
+	})
+	// The copy is from revision 100.
+	step(&tarragonwell.ListChange{
+		Era:      2,
+		Revision: 101,
+		Targets: []tarragonwell.ListedTarget{
+			listedAt("gone", 80, false), listedAt("leaving", 81, false), listedAt("stays", 82, false),
+		},
+	})
+	if got, want := l.Position().Revision, uint64(101); got != want {
+		t.Errorf("got revision %d, want %d", got, want)
+	}
+	if got, want := usable(&l), []string{"new", "stays"}; !slices.Equal(got, want) {
+		t.Errorf("at the start of the era: got targets %q, want %q", got, want)
+	}
+	if got, want := l.Survey(), (Survey{Listed: 2, Missing: 1, Departed: 1, MissingDrains: 1}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if got, want := len(l.Drains()), 1; got != want {
+		t.Errorf("got %d drains before they are written again, want %d", got, want)
+	}
+	for _, c := range []tarragonwell.ListChange{
+		{
+			Era:      1,
+			Revision: 900,
+		},
+		{
+			Era:      3,
+			Since:    101,
+			Revision: 102,
+		},
+	} {
+		if changed, _ := l.Apply(begin, begin, &c); changed {
+			t.Errorf("change of era %d since %d is applied to era 2", c.Era, c.Since)
+		}
+	}
+	l.DropRemoved(begin.Add(massRemovalGrace - time.Millisecond))
+	if got, want := usable(&l), []string{"new", "stays"}; !slices.Equal(got, want) {
+		t.Errorf("before the missing target has to be back: got targets %q, want %q", got, want)
+	}
+	l.DropRemoved(begin.Add(massRemovalGrace))
+	if got, want := usable(&l), []string{"stays"}; !slices.Equal(got, want) {
+		t.Errorf("after the missing target had to be back: got targets %q, want %q", got, want)
+	}
+	// The operators end the drain, and the target that had gone writes its entry again.
+	step(&tarragonwell.ListChange{
+		Era:         2,
+		Since:       101,
+		Revision:    103,
+		Targets:     []tarragonwell.ListedTarget{listedAt("gone", 102, false)},
+		EndedDrains: drained("north", 103),
+	})
+	if got, want := usable(&l), []string{"gone", "stays"}; !slices.Equal(got, want) {
+		t.Errorf("after the entry was written again: got targets %q, want %q", got, want)
+	}
+	if got, want := len(l.Drains()), 0; got != want {
+		t.Errorf("got %d drains after their end, want %d", got, want)
+	}
+}
+
+// TestMissingDrainEnds guards against a drain that stays in force for good although nobody writes
+// it again, and against one that ends before it could be written again.
+func TestMissingDrainEnds(t *testing.T) {
+	begin := time.Unix(1_000_000, 0)
+	var l Listing
+	l.Apply(begin, begin, &tarragonwell.ListChange{
+		Era:      1,
+		Revision: 10,
+		Drains:   drained("north", 9),
+	})
+	l.Apply(begin, begin, &tarragonwell.ListChange{
+		Era:      2,
+		Revision: 5,
+	})
+	if l.DropRemoved(begin.Add(rewriteGrace-time.Millisecond)) || len(l.Drains()) != 1 {
+		t.Error("the drain has ended too early")
+	}
+	if !l.DropRemoved(begin.Add(rewriteGrace)) || len(l.Drains()) != 0 {
+		t.Error("the drain has not ended")
+	}
+}
+
+// TestChangesSinceEarlierEra guards against a peer that gets the changes after a revision of
+// another era in place of the full list.
+func TestChangesSinceEarlierEra(t *testing.T) {
+	begin := time.Unix(1_000_000, 0)
+	var l Listing
+	l.Apply(begin, begin, &tarragonwell.ListChange{
+		Era:      2,
+		Revision: 100,
+		Targets:  []tarragonwell.ListedTarget{listedAt("a", 90, false)},
+	})
+	for _, era := range []uint64{0, 1, 2, 3} {
+		c := l.ChangesSince(begin, tarragonwell.ListPosition{
+			Era:      era,
+			Revision: 100,
+		})
+		if got, want := c.Since == 0, era != 2; got != want {
+			t.Errorf("changes since era %d: got the full list %t, want %t", era, got, want)
+		}
+	}
+}
--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -36,7 +36,7 @@
 // Listing is an instance's copy of the platform's list. It is not safe for concurrent
 // use: one goroutine owns it. The zero value is empty.
 type Listing struct {
-	// position is that of the latest change.
+	// position is that of the latest change. All revisions below are of its era.
 	position tarragonwell.ListPosition
 	// targets holds the entries by target ID; nil before the first change.
 	targets   map[string]*entry
@@ -47,6 +47,8 @@
 	removalsSince uint64
 	// drains holds the drains of data centres, as of position.
 	drains drains.Set
+	// earlier is what is still known of the eras before.
+	earlier earlierEra
 }
 
 // entry is one target. A removed entry is kept until its grace period is over.
@@ -59,6 +61,14 @@
 	observedAt time.Time
 	// afterOutage is set if the removal was observed after an outage of the platform.
 	afterOutage bool
+	// fromEarlierEra is set until the entry is received in the current era.
+	fromEarlierEra bool
+	// lost is set if the entry was missing when the era began.
+	lost bool
+	// departedUntil is set if the entry was removed in an earlier era and is back in the copy
+	// with which the era began. The target counts as leaving until then, or until the entry
+	// is received again.
+	departedUntil time.Time
 }
 
 // Position returns the position of the latest change; zero before the first.
@@ -73,18 +83,22 @@
 
 // Drains returns the drains in force, ordered by data centre.
 func (l *Listing) Drains() []tarragonwell.DataCenterDrain {
-	return l.drains.InForce(0)
+	return l.earlier.withDrains(l.drains.InForce(0))
 }
 
 // Apply applies a change and reports whether the list has changed. ok is false if the
-// change builds on a later revision than the list has. The change is then ignored.
+// change builds on a later position than the list has. The change is then ignored, like one
+// of an earlier era. A later era begins with its full list, whatever its revision.
 // confirmedAt is when the list was last confirmed to be up to date; now is used instead
 // if it is zero or later than now.
 func (l *Listing) Apply(now, confirmedAt time.Time, c *tarragonwell.ListChange) (changed, ok bool) {
-	if c.Since > l.position.Revision {
+	current := l.position.Revision
+	switch {
+	case c.Era < l.position.Era:
+		return false, true
+	case c.Era > l.position.Era && c.Since > 0, c.Era == l.position.Era && c.Since > current:
 		return false, false
-	}
-	if c.Revision < l.position.Revision || (c.Revision == l.position.Revision && l.targets != nil) {
+	case c.Era == l.position.Era && (c.Revision < current || c.Revision == current && l.targets != nil):
 		return false, true
 	}
 	if l.targets == nil {
@@ -93,6 +107,9 @@
 	if confirmedAt.IsZero() || confirmedAt.After(now) {
 		confirmedAt = now
 	}
+	if c.Era > l.position.Era {
+		l.endEra(now, c.Drains)
+	}
 	if c.Since == 0 {
 		l.replace(now, confirmedAt, c)
 	} else {
@@ -108,9 +125,12 @@
 	for _, t := range c.Targets {
 		listed[t.Identity()] = true
 		l.put(now, t)
+		if c.Era > l.position.Era && l.earlier.hasDeparted(now, t) {
+			l.targets[t.Identity()].departedUntil = now.Add(rewriteGrace)
+		}
 	}
 	for id, e := range l.targets {
-		if !listed[id] && e.target.Revision <= c.Revision {
+		if !listed[id] && (e.fromEarlierEra || e.target.Revision <= c.Revision) {
 			l.remove(now, confirmedAt, id, e)
 		}
 	}
@@ -123,6 +143,7 @@
 // merge applies the changes since an earlier revision.
 func (l *Listing) merge(now, confirmedAt time.Time, c *tarragonwell.ListChange) {
 	l.drains.Merge(c.Drains, c.EndedDrains)
+	l.earlier.endDrains(c.EndedDrains)
 	for _, t := range c.Targets {
 		l.put(now, t)
 	}
@@ -130,7 +151,7 @@
 		if r.Revision <= l.position.Revision {
 			continue
 		}
-		if e := l.targets[r.ID]; e != nil && e.target.Revision < r.Revision {
+		if e := l.targets[r.ID]; e != nil && (e.fromEarlierEra || e.target.Revision < r.Revision) {
 			l.remove(now, confirmedAt, r.ID, e)
 		}
 		l.removals = append(l.removals, r)
@@ -158,11 +179,18 @@
 		}
 		return
 	}
-	if t.Revision < e.target.Revision {
+	if !e.fromEarlierEra && t.Revision < e.target.Revision {
 		return
 	}
+	if e.fromEarlierEra && e.target.Leaving && t.Born != 0 && t.Born == e.target.Born {
+		// The copy is from before the target reported that it is leaving.
+		t.Leaving = true
+	}
 	e.target = t
 	e.removedAt = time.Time{}
+	e.fromEarlierEra = false
+	e.lost = false
+	e.departedUntil = time.Time{}
 }
 
 // warmUpEnd returns the end of the warm-up time that an entry states. An entry that is
@@ -173,7 +201,7 @@
 		return time.Time{}
 	}
 	end := now.Add(min(t.WarmUpRemaining, tarragonwell.MaxWarmUp))
-	if present == nil || present.target.Revision != t.Revision || present.target.Born != t.Born {
+	if present == nil || present.fromEarlierEra || present.target.Revision != t.Revision || present.target.Born != t.Born {
 		return end
 	}
 	if known := present.target.WarmUpUntil; known.Before(end) {
@@ -193,17 +221,31 @@
 		e.removedAt = confirmedAt
 		e.observedAt = now
 		e.afterOutage = now.Sub(confirmedAt) >= outageThreshold
+		e.lost = e.fromEarlierEra
+		if !e.afterOutage && !e.lost {
+			l.earlier.remember(now, e.target)
+		}
 	}
 }
 
-// DropRemoved deletes the removed entries whose grace period is over. It reports
-// whether there were any.
+// mayReturn reports whether a removed entry is missing because of a fault of the platform: in
+// a mass removal, or in the copy with which an era begins.
+func (e *entry) mayReturn(mass map[string]bool) bool {
+	return e.lost || e.afterOutage && mass[e.target.Service]
+}
+
+// DropRemoved deletes the removed entries whose grace period is over, and the drains of an
+// earlier era that were not written again. It reports whether the list has changed.
 func (l *Listing) DropRemoved(now time.Time) bool {
 	mass := l.massRemovals()
-	dropped := false
+	dropped := l.earlier.dropDrains(now)
 	for id, e := range l.targets {
+		if !e.departedUntil.IsZero() && !now.Before(e.departedUntil) {
+			e.departedUntil = time.Time{}
+			dropped = true
+		}
 		over := now.Sub(e.removedAt) >= removalGrace
-		if e.afterOutage && mass[e.target.Service] {
+		if e.mayReturn(mass) {
 			over = now.Sub(e.observedAt) >= massRemovalGrace
 		}
 		if !e.removedAt.IsZero() && over {
@@ -233,16 +275,6 @@
 	return out
 }
 
-// HasRemoved reports whether any removed entry is still kept.
-func (l *Listing) HasRemoved() bool {
-	for _, e := range l.targets {
-		if !e.removedAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // Targets returns the targets by service, ordered by ID. Targets of removed entries
 // are marked as delisted, to be used only as a last resort, except in a mass removal.
 func (l *Listing) Targets() map[string][]tarragonwell.ListedTarget {
@@ -250,7 +282,8 @@
 	out := map[string][]tarragonwell.ListedTarget{}
 	for _, e := range l.targets {
 		t := e.target
-		t.Delisted = !e.removedAt.IsZero() && !(e.afterOutage && mass[t.Service])
+		t.Leaving = t.Leaving || !e.departedUntil.IsZero()
+		t.Delisted = !e.removedAt.IsZero() && !e.mayReturn(mass)
 		out[t.Service] = append(out[t.Service], t)
 	}
 	for _, list := range out {
@@ -261,9 +294,9 @@
 	return out
 }
 
-// ChangesSince returns the changes after a position, or the full list if the removals
-// since then are no longer retained, with the warm-up times that remain. It returns nil
-// before the first change.
+// ChangesSince returns the changes after a position, or the full list if the position is of
+// another era or the removals since then are no longer retained, with the warm-up times that
+// remain. It returns nil before the first change.
 func (l *Listing) ChangesSince(now time.Time, since tarragonwell.ListPosition) *tarragonwell.ListChange {
 	if l.targets == nil {
 		return nil
@@ -274,7 +307,8 @@
 		Since:    revision,
 		Revision: l.position.Revision,
 	}
-	if revision < max(l.removalsSince, l.drains.EndedSince()) || revision > l.position.Revision || !l.canComputeChanges() {
+	retained := revision >= max(l.removalsSince, l.drains.EndedSince()) && revision <= l.position.Revision
+	if since.Era != l.position.Era || !retained || !l.canComputeChanges() {
 		c.Since = 0
 		c.Instances = l.instances
 	}
--- a/test/soak/era_test.go
+++ b/test/soak/era_test.go
@@ -67,3 +67,11 @@
 		t.Error(v)
 	}
 }
+
+// TestDrainAfterDrill guards against a drained zone that goes on receiving requests because the
+// store, which came back from a copy, gives the drain a revision before that of the list.
+func TestDrainAfterDrill(t *testing.T) {
+	for _, v := range runThroughDrill(t, 111, func(in *injector) { in.drainZone(nil, in.environment.backends[0], time.Second, 0) }) {
+		t.Error(v)
+	}
+}
