See a close behind requests that wait

Cause: net/http watches the connection by reading one byte while a request is handled. A byte of the next request satisfies this read, and nothing is read after it.

Change: the guard answers this read and hands out no byte. It waits for the close by the state of the socket (poll), which shows behind unread bytes. The end of what a caller sends does not tell a close from a caller that only sends nothing more: the first bytes of the response, the same for all, are sent then, and a caller that has left answers with a reset. So callers that end only their sending get all responses; they lost the last one before.

--- a/internal/sockets/guard.go
+++ b/internal/sockets/guard.go
@@ -175,6 +175,7 @@
 		Conn:  c,
 		guard: g,
 	}
+	x.began.L = &x.mu
 	g.mu.Lock()
 	entry, closed := g.table.Open(now, slowAfter)
 	if entry != nil {
--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -43,8 +43,8 @@
 	c.shift.Add(int64(d))
 }
 
-// guardFixture is a server behind a guard. Its handler echoes the body of a request, waits
-// for release before if the path is /wait, or responds with largeBody bytes if it is /large. If it
+// guardFixture is a server behind a guard. Its handler echoes the body and the query of a request, waits
+// for release before if the path is /wait, or for that or its caller to leave if it is /left, or responds with largeBody bytes if it is /large. If it
 // is /kept it responds with lastBody bytes; if it is /last too, but waits for release before and
 // closes the connection after them. If it is /broken it breaks its response off.
 type guardFixture struct {
@@ -56,6 +56,8 @@
 	maxBytes    atomic.Int64
 	// waiting counts the requests that wait for release.
 	waiting atomic.Int64
+	// left counts those whose caller has left.
+	left    atomic.Int64
 	release chan struct{}
 }
 
@@ -108,6 +110,13 @@
 			case "/wait":
 				f.waiting.Add(1)
 				<-f.release
+			case "/left":
+				f.waiting.Add(1)
+				select {
+				case <-f.release:
+				case <-r.Context().Done():
+					f.left.Add(1)
+				}
 			case "/large":
 				_, _ = w.Write(make([]byte, largeBody))
 				return
@@ -133,6 +142,7 @@
 				w.WriteHeader(http.StatusBadRequest)
 			}
 			_, _ = w.Write(body)
+			_, _ = io.WriteString(w, r.URL.RawQuery)
 		}),
 	}
 	g.Attach(server)
--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -29,6 +29,9 @@
 // errRefused is the error of a body whose trailer exceeds the memory that is left.
 var errRefused = eris.New("the trailer exceeds the memory that is left")
 
+// errBegun is the error of a response that does not go on as it was begun.
+var errBegun = eris.New("the response has begun otherwise")
+
 // errClosed is the error of a head that was received whole just as its connection was closed.
 var errClosed = eris.New("the connection was closed to make room")
 
@@ -54,6 +57,12 @@
 	// counted is set while the connection counts in guard.http1, and guarded as that.
 	counted bool
 
+	// writing is held during writes, and guards sentPrefix.
+	writing sync.Mutex
+	// sentPrefix is the beginning of the current response that beginResponse has sent, until
+	// net/http writes the response; otherwise empty.
+	sentPrefix string
+
 	// mu guards the fields below, but is not held while Read waits for the socket: net/http
 	// reads a single byte while a request without a body is handled.
 	mu sync.Mutex
@@ -66,14 +75,22 @@
 	// unreserved is the cost of bytes that were returned and not yet reserved.
 	unreserved int64
 	http2      bool
+	// headEnded is set from the end of a request's head until its response was written whole.
+	headEnded bool
 	// handling is set while a request is handled.
 	handling bool
+	// began is signalled when the handling of a request has begun, or the read that watches the
+	// caller meanwhile is to end.
+	began sync.Cond
 	// inHandler is set from the start of a request's handler until it returns; it stays set
 	// if the handler panics, which breaks the response off.
 	inHandler bool
 	// unframed is set if the end of the connection may end the response to the current request,
 	// as over HTTP/1.0.
 	unframed bool
+	// responseBegun is set once net/http has written a part of the response to the current
+	// request, or an interim one.
+	responseBegun bool
 	// wrote is set once a part of a response was written after the connection was last idle.
 	wrote bool
 	// readDeadline is the deadline for reads without that of a drain; zero for none.
@@ -85,6 +102,11 @@
 
 // Read implements net.Conn.
 func (c *guardedConn) Read(p []byte) (int, error) {
+	if len(p) == 1 && c.receivedRequest() {
+		err := c.readWhileHandling()
+		c.recordError(err)
+		return 0, err
+	}
 	n, err := c.receive(p)
 	for n == 0 && c.awaitsDelivery(err) {
 		n, err = c.receive(p)
@@ -112,7 +134,22 @@
 
 // Write implements net.Conn. It records the writes that wait for the caller.
 func (c *guardedConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	defer c.entry.EndWrite()
+	rest, err := c.withoutPrefix(p)
+	if err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	c.responseBegun = true
+	c.mu.Unlock()
+	written, err := c.writeParts(rest)
+	return len(p) - len(rest) + written, err
+}
+
+// writeParts writes in parts of maxWriteBytes.
+func (c *guardedConn) writeParts(p []byte) (int, error) {
 	written := 0
 	for {
 		part := p[written:min(len(p), written+maxWriteBytes)]
@@ -142,6 +179,13 @@
 	c.mu.Unlock()
 }
 
+// receivedRequest reports whether the current request was received whole.
+func (c *guardedConn) receivedRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headEnded && !c.http2 && c.body.ended()
+}
+
 // receive returns pending bytes or, if there are none, bytes of the socket.
 func (c *guardedConn) receive(p []byte) (int, error) {
 	c.mu.Lock()
@@ -212,6 +256,8 @@
 func (c *guardedConn) endHead() error {
 	isHTTP2 := c.head.isHTTP2() && c.guard.options.HTTP2
 	c.head = headScanner{}
+	c.headEnded = true
+	c.responseBegun = false
 	now := c.guard.options.Clock.Now()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
@@ -243,6 +289,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling = true
+	defer c.began.Broadcast()
 	if c.http2 {
 		return
 	}
@@ -267,6 +314,7 @@
 	c.mu.Lock()
 	isHTTP2 := c.http2
 	if s == http.StateIdle {
+		c.headEnded = false
 		c.handling = false
 		c.wrote = false
 	}
@@ -332,6 +380,7 @@
 		t = t.Add(extra)
 	}
 	c.readDeadline = t
+	c.began.Broadcast()
 	return c.applyReadDeadline()
 }
 
--- a/internal/sockets/linger.go
+++ b/internal/sockets/linger.go
@@ -36,6 +36,7 @@
 	}
 	// A second call closes at once.
 	c.ended = true
+	c.began.Broadcast()
 	c.mu.Unlock()
 	if !lingers {
 		return c.closeNow()
