Soak: draw a drill of the store

The store leaves, comes back from a copy 1 to 5 s old, and what was lost is written again at once or up to 1 s later, beside cuts, kills, freezes and drains.

--- a/test/soak/injector.go
+++ b/test/soak/injector.go
@@ -87,7 +87,7 @@
 	faults := []func(*instance, *backend, time.Duration, int){
 		in.kill, in.stop, in.freeze, in.failStore, in.partitionStore, in.compactStore, in.disruptStorePath,
 		in.disruptPeerPath, in.disruptTargetPath, in.dropTargetResponses, in.drainTarget, in.switchReads, in.switchReads,
-		in.leaveInResponses, in.askForBackoff, in.respondWithoutEnd, in.writeOddEntry, in.drainZone,
+		in.leaveInResponses, in.askForBackoff, in.respondWithoutEnd, in.writeOddEntry, in.drainZone, in.drill,
 	}
 	for ctx.Err() == nil {
 		inject := faults[in.random.IntN(len(faults))]
@@ -186,6 +186,16 @@
 	in.environment.store.Compact()
 }
 
+// drill plays a drill of the store: what was written lately is lost, and written again.
+func (in *injector) drill(_ *instance, _ *backend, length time.Duration, variant int) {
+	copyAge := time.Duration(1+variant%5) * time.Second
+	rewriteAfter := time.Duration(variant%3) * time.Second / 2
+	in.record("store comes back from a copy of %v before, after %v; what is lost is written again after %v", copyAge, length/2, rewriteAfter)
+	in.recordFaultOnAll()
+	in.environment.store.Drill(copyAge, length/2, rewriteAfter)
+	in.recordFaultOnAll()
+}
+
 func (in *injector) disruptStorePath(i *instance, _ *backend, length time.Duration, variant int) {
 	i.recordStoreCut()
 	in.disruptPath("store of "+i.name, i.storeProxy, length, variant)
