Begin no call late in a stop that its end may cut off

Cause: late in a planned stop a call was begun if calls of its kind usually end in time. A target that has just become slow takes longer, and the end of the stop cut the call off.

Change: after the balancer wait a call is begun only if the time for which its caller waits ends before calls are ended. Others are rejected as not run, to be retried elsewhere.

--- a/internal/common/drain.go
+++ b/internal/common/drain.go
@@ -15,25 +15,35 @@
 // Drain is the state of a planned stop. It is safe for concurrent use. The zero value is
 // that of an instance which is not stopping.
 type Drain struct {
-	// end is when the calls in progress are ended; nil before the stop begins.
-	end atomic.Pointer[time.Time]
+	// limits is nil before the stop begins.
+	limits atomic.Pointer[DrainLimits]
 }
 
-// Begin records that the stop has begun and when the calls in progress will be ended.
-func (d *Drain) Begin(end time.Time) {
-	d.end.Store(&end)
+// DrainLimits are the limits on the calls of an instance that stops.
+type DrainLimits struct {
+	// LateFrom is when all callers should have noticed that the instance stops.
+	LateFrom time.Time
+	// End is when the calls in progress are ended.
+	End time.Time
+}
+
+// Begin records that the stop has begun, and its limits.
+func (d *Drain) Begin(l DrainLimits) {
+	d.limits.Store(&l)
 }
 
 // Begun reports whether the stop has begun.
 func (d *Drain) Begun() bool {
-	return d.end.Load() != nil
+	return d.limits.Load() != nil
 }
 
 // Bound returns the deadline of a call that begins now: the given one, or the end of the
-// drain if that is earlier.
-func (d *Drain) Bound(deadline time.Time) time.Time {
-	if end := d.end.Load(); end != nil && end.Before(deadline) {
-		return *end
+// drain if that is earlier. late is set for a call that begins late in the stop and may be cut off
+// by its end.
+func (d *Drain) Bound(now, deadline time.Time) (bounded time.Time, late bool) {
+	l := d.limits.Load()
+	if l == nil || !l.End.Before(deadline) {
+		return deadline, false
 	}
-	return deadline
+	return l.End, !now.Before(l.LateFrom)
 }
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -32,8 +32,12 @@
 // and those that do are answered before it.
 func (i *Instance) shutDown(s *servers) {
 	callsEnd := time.Duration(float64(i.common.Settings.DrainLimit) * answerShare)
-	callsEndAt := i.common.Clock.Now().Add(callsEnd)
-	i.common.Drain.Begin(callsEndAt)
+	now := i.common.Clock.Now()
+	callsEndAt := now.Add(callsEnd)
+	i.common.Drain.Begin(common.DrainLimits{
+		LateFrom: now.Add(i.common.Settings.BalancerWait),
+		End:      callsEndAt,
+	})
 	defer time.AfterFunc(callsEnd, func() { s.endCalls(common.ErrStopping) }).Stop()
 	i.ready.Store(false)
 	i.peers.SetState(tarragonwell.MemberLeaving)
--- a/internal/service/dispatch.go
+++ b/internal/service/dispatch.go
@@ -38,6 +38,9 @@
 	// have run, for a further attempt or a hedge. Attempts after a refusal or after an
 	// attempt that was not sent do not count.
 	resendUsed bool
+	// lateInDrain is set if the call has begun late in a planned stop and may be cut off by its
+	// end.
+	lateInDrain bool
 	// fallback is a server error that is returned if no later attempt succeeds.
 	fallback *tarragonwell.Response
 }
@@ -47,11 +50,11 @@
 	if c.Service == nil {
 		c.Service = dr.options.ServiceRule
 	}
-	c.Deadline = dr.options.Common.Drain.Bound(c.Deadline)
 	d := &dispatch{
 		dispatcher: dr,
 		call:       c,
 	}
+	c.Deadline, d.lateInDrain = dr.options.Common.Drain.Bound(dr.options.Common.Clock.Now(), c.Deadline)
 	for {
 		result, done := d.tryOnce(ctx)
 		if done {
@@ -99,6 +102,7 @@
 		Exclude:        d.tried,
 		Retry:          d.attempts > 0,
 		MustFinish:     d.dispatcher.options.Common.Drain.Begun(),
+		MayBeCutOff:    d.lateInDrain && d.call.CallerTimeLeft > 0,
 	}
 }
 
--- a/pkg/tarragonwell/scheduling/decision.go
+++ b/pkg/tarragonwell/scheduling/decision.go
@@ -31,6 +31,10 @@
 	// the deadline is cut off. The request is rejected if the call would most likely not
 	// end by then, even if a target is free.
 	MustFinish bool
+	// MayBeCutOff is set late in such a stop if the time for which the caller waits ends after the
+	// deadline. The request is rejected, however short such calls usually are: the caller gets a
+	// response in time from another instance.
+	MayBeCutOff bool
 	// LightlyLoadedOnly is set while further targets can be probed for the call. The request
 	// is rejected, without an effect on any budget, unless a recently probed target is
 	// lightly loaded: another call may have taken the one that the probes found.
--- a/pkg/tarragonwell/scheduling/scheduler.go
+++ b/pkg/tarragonwell/scheduling/scheduler.go
@@ -137,7 +137,7 @@
 	if !now.Before(r.Deadline) {
 		return reject(r.ID, ReasonDeadline, 0)
 	}
-	if r.MustFinish && now.Add(s.expectedTime(r.Kind)).After(r.Deadline) {
+	if r.MayBeCutOff || r.MustFinish && now.Add(s.expectedTime(r.Kind)).After(r.Deadline) {
 		return reject(r.ID, ReasonDeadline, 0)
 	}
 	if r.LightlyLoadedOnly && !s.lightlyLoadedInReach(now, r) {
