Show the users' runs: a new route and a leaving target after a drill

Each rule that the users saw broken is reproduced by itself on the untouched with real processes (docs/incidents/2026-12-07-users-runs.md): TestAddedRouteAfterDrill: 404 at 3 of 3 instances (DENIED); TestLeavingTargetAfterDrill: 50 requests at the target later than 2 s (DRAIN), and 552 reads by old rules (CONFIG).

Also, found by reading: a refused configuration with a high version would have kept the list that is fetched from a peer without its rules, so that a refused version is compared by its position alone; and instances of the release before, which state no era, would have got all rules with each list.

--- a/internal/instance/reconciler.go
+++ b/internal/instance/reconciler.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -283,7 +284,9 @@
 	u := tarragonwell.PlatformUpdate{
 		List: st.list.ChangesSince(now, since),
 	}
-	if st.version().After(rules) {
+	// A peer of an earlier release states no era. It has the rules in force if the digest is theirs.
+	known := rules.Era == 0 && bytes.Equal(rules.Digest, st.version().Digest)
+	if st.version().After(rules) && !known {
 		v := st.rules.Version
 		u.Rules = &tarragonwell.PublishedRules{
 			Generation: v.Generation,
--- a/internal/instance/rules.go
+++ b/internal/instance/rules.go
@@ -39,6 +39,9 @@
 // refuse records that a rules file was refused and adds the reason to the snapshot.
 // The rules in force stay.
 func (rc *reconciler) refuse(st *reconcilerState, v tarragonwell.RulesVersion, from string, err error) {
+	// The operators may give the next rules the same generation, or a lower one: the position
+	// alone tells which were read last.
+	v.Generation = 0
 	st.refusal = refusal{
 		version: v,
 		reason:  err.Error(),
--- a/test/soak/era_test.go
+++ b/test/soak/era_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -68,6 +71,68 @@
 	}
 }
 
+// TestAddedRouteAfterDrill guards against proper requests that are rejected because the route for
+// them was added after the store had come back from a copy.
+func TestAddedRouteAfterDrill(t *testing.T) {
+	for _, v := range runThroughDrill(t, 112, func(in *injector) {
+		e := in.environment
+		c := newConfiguration(len(in.configChanges)+2, serviceDesk)
+		routes := c["routes"].(map[string]any)
+		added := maps.Clone(routes["r-read"].(map[string]any))
+		added["pathPrefix"] = "/added/"
+		routes["r-added"] = added
+		e.store.PutJSON("op/config", c)
+		in.configChanges = append(in.configChanges, configChange{
+			reads: serviceDesk,
+			at:    time.Now(),
+		})
+		time.Sleep(applyLimit)
+		for _, i := range e.instances {
+			if got, want := statusOf(t, i, "/added/x"), http.StatusOK; got != want {
+				t.Errorf("%s: got status %d for a request on the added route, want %d", i.name, got, want)
+			}
+		}
+	}) {
+		t.Error(v)
+	}
+}
+
+// statusOf sends a request to an instance and returns the status of the response.
+func statusOf(t *testing.T, i *instance, path string) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+i.callersAddress+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = host
+	r.Header.Set("Attempt-Id", "added-"+i.name)
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(clientDeadline.Milliseconds(), 10))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestLeavingTargetAfterDrill guards against requests that reach a target which has said that it
+// is leaving after the store had come back from a copy.
+func TestLeavingTargetAfterDrill(t *testing.T) {
+	for _, v := range runThroughDrill(t, 113, func(in *injector) {
+		b := in.environment.backends[0]
+		in.environment.publishTarget(b, "draining")
+		confirmed := time.Now()
+		time.Sleep(2 * drainLimit)
+		in.drainPeriods = append(in.drainPeriods, drainPeriod{
+			target: b.target.ID,
+			from:   confirmed,
+			to:     time.Now(),
+		})
+	}) {
+		t.Error(v)
+	}
+}
+
 // TestDrainAfterDrill guards against a drained zone that goes on receiving requests because the
 // store, which came back from a copy, gives the drain a revision before that of the list.
 func TestDrainAfterDrill(t *testing.T) {
