Wait anew for what a second copy of the platform's data lacks

In two drills in a row, a target or a drain that the first copy lacked was waited for from the first return only, and dropped before it could be written again after the second.

--- a/pkg/tarragonwell/listing/era.go
+++ b/pkg/tarragonwell/listing/era.go
@@ -45,12 +45,16 @@
 	until time.Time
 }
 
-// endEra prepares the list for the full list of a later era, which has the given drains.
+// endEra prepares the list for the full list of a later era, which has the given drains. What was
+// missing already is waited for anew.
 func (l *Listing) endEra(now time.Time, next []tarragonwell.DataCenterDrain) {
 	for _, e := range l.targets {
 		e.fromEarlierEra = true
+		if e.lost {
+			e.removedAt = time.Time{}
+		}
 	}
-	for _, d := range l.drains.InForce(0) {
+	for _, d := range l.Drains() {
 		l.earlier.addDrain(d, now.Add(rewriteGrace))
 	}
 	l.earlier.endDrains(next)
--- a/pkg/tarragonwell/listing/era_test.go
+++ b/pkg/tarragonwell/listing/era_test.go
@@ -154,6 +154,46 @@
 	}
 }
 
+// TestTwoErasInARow guards against a target or a drain that is dropped, or a target that left and
+// is used again, because the platform comes back from a copy once more before it was written again.
+func TestTwoErasInARow(t *testing.T) {
+	begin := time.Unix(1_000_000, 0)
+	var l Listing
+	l.Apply(begin, begin, &tarragonwell.ListChange{
+		Era:      1,
+		Revision: 10,
+		Targets:  []tarragonwell.ListedTarget{listedAt("gone", 1, false), listedAt("leaving", 2, true), listedAt("new", 9, false)},
+		Drains:   drained("north", 10),
+	})
+	l.Apply(begin, begin, &tarragonwell.ListChange{
+		Era:      1,
+		Since:    10,
+		Revision: 11,
+		Removed: []tarragonwell.RemovedTarget{
+			{
+				ID:       "gone",
+				Revision: 11,
+			},
+		},
+	})
+	for era := range uint64(2) {
+		at := begin.Add(time.Duration(era) * (massRemovalGrace - time.Second))
+		l.Apply(at, at, &tarragonwell.ListChange{
+			Era:      era + 2,
+			Revision: 5,
+			Targets:  []tarragonwell.ListedTarget{listedAt("gone", 1, false), listedAt("leaving", 2, false)},
+		})
+	}
+	l.DropRemoved(begin.Add(massRemovalGrace))
+	if got, want := usable(&l), []string{"new"}; !slices.Equal(got, want) {
+		t.Errorf("got targets %q, want %q", got, want)
+	}
+	l.DropRemoved(begin.Add(rewriteGrace))
+	if got, want := len(l.Drains()), 1; got != want {
+		t.Errorf("got %d drains, want %d", got, want)
+	}
+}
+
 // TestChangesSinceEarlierEra guards against a peer that gets the changes after a revision of
 // another era in place of the full list.
 func TestChangesSinceEarlierEra(t *testing.T) {
