Keep leaving targets out of use through further full reads of an era

A second full read of the same era brings the entries of the copy again, and put a target that was leaving or gone back into use. TestEraBegins, with a step for it, fails on the commit before and passes now. Found by reading.

--- a/pkg/tarragonwell/listing/era_test.go
+++ b/pkg/tarragonwell/listing/era_test.go
@@ -93,6 +93,17 @@
 	if got, want := len(l.Drains()), 1; got != want {
 		t.Errorf("got %d drains before they are written again, want %d", got, want)
 	}
+	// Another full read brings the same entries.
+	step(&tarragonwell.ListChange{
+		Era:      2,
+		Revision: 102,
+		Targets: []tarragonwell.ListedTarget{
+			listedAt("gone", 80, false), listedAt("leaving", 81, false), listedAt("stays", 82, false),
+		},
+	})
+	if got, want := usable(&l), []string{"new", "stays"}; !slices.Equal(got, want) {
+		t.Errorf("after another full read: got targets %q, want %q", got, want)
+	}
 	for _, c := range []tarragonwell.ListChange{
 		{
 			Era:      1,
@@ -100,8 +111,8 @@
 		},
 		{
 			Era:      3,
-			Since:    101,
-			Revision: 102,
+			Since:    102,
+			Revision: 103,
 		},
 	} {
 		if changed, _ := l.Apply(begin, begin, &c); changed {
@@ -119,10 +130,10 @@
 	// The operators end the drain, and the target that had gone writes its entry again.
 	step(&tarragonwell.ListChange{
 		Era:         2,
-		Since:       101,
-		Revision:    103,
-		Targets:     []tarragonwell.ListedTarget{listedAt("gone", 102, false)},
-		EndedDrains: drained("north", 103),
+		Since:       102,
+		Revision:    104,
+		Targets:     []tarragonwell.ListedTarget{listedAt("gone", 103, false)},
+		EndedDrains: drained("north", 104),
 	})
 	if got, want := usable(&l), []string{"gone", "stays"}; !slices.Equal(got, want) {
 		t.Errorf("after the entry was written again: got targets %q, want %q", got, want)
--- a/pkg/tarragonwell/listing/listing.go
+++ b/pkg/tarragonwell/listing/listing.go
@@ -182,15 +182,18 @@
 	if !e.fromEarlierEra && t.Revision < e.target.Revision {
 		return
 	}
-	if e.fromEarlierEra && e.target.Leaving && t.Born != 0 && t.Born == e.target.Born {
-		// The copy is from before the target reported that it is leaving.
+	fromCopy := e.fromEarlierEra || t.Revision == e.target.Revision
+	if fromCopy && e.target.Leaving && t.Born != 0 && t.Born == e.target.Born {
+		// The copy may be from before the target reported that it is leaving.
 		t.Leaving = true
 	}
+	if !fromCopy {
+		e.departedUntil = time.Time{}
+	}
 	e.target = t
 	e.removedAt = time.Time{}
 	e.fromEarlierEra = false
 	e.lost = false
-	e.departedUntil = time.Time{}
 }
 
 // warmUpEnd returns the end of the warm-up time that an entry states. An entry that is
