Keep a long response to a caller that has ended what it sends

Once the beginning of the response was sent, and no reset had come, the watch of the connection still took the end of what the caller sends for a close when it was woken again while the response was written, and the request was given up. TestLongResponseToCallerThatSendsNothingMore fails on the commit before: 1 of 1 run, and 0 of 3 with the race detector, which is slower.

--- a/internal/sockets/guard_test.go
+++ b/internal/sockets/guard_test.go
@@ -44,7 +44,8 @@
 }
 
 // guardFixture is a server behind a guard. Its handler echoes the body and the query of a request, waits
-// for release before if the path is /wait, or for that or its caller to leave if it is /left, or responds with largeBody bytes if it is /large. If it
+// for release before if the path is /wait, or for that or its caller to leave if it is /left, which is
+// followed by largeBody bytes if the query is large, or responds with largeBody bytes if it is /large. If it
 // is /kept it responds with lastBody bytes; if it is /last too, but waits for release before and
 // closes the connection after them. If it is /broken it breaks its response off.
 type guardFixture struct {
@@ -117,6 +118,13 @@
 				case <-r.Context().Done():
 					f.left.Add(1)
 				}
+				if r.URL.RawQuery == "large" {
+					_, _ = w.Write(make([]byte, largeBody))
+					if r.Context().Err() != nil {
+						f.left.Add(1)
+					}
+					return
+				}
 			case "/large":
 				_, _ = w.Write(make([]byte, largeBody))
 				return
--- a/internal/sockets/watch.go
+++ b/internal/sockets/watch.go
@@ -87,6 +87,7 @@
 		return err
 	}
 	result := error(errCallerLeft)
+	probed := false
 	err = raw.Read(func(fd uintptr) (done bool) {
 		events, pollErr := closeEvents(fd)
 		switch {
@@ -98,7 +99,8 @@
 		case !ended && events&unix.POLLRDHUP == 0:
 			return false
 		}
-		if c.beginResponse() || !ended {
+		probed = probed || c.beginResponse()
+		if probed || !ended {
 			return false
 		}
 		result = io.EOF
--- a/internal/sockets/watch_test.go
+++ b/internal/sockets/watch_test.go
@@ -113,3 +113,27 @@
 		}
 	}
 }
+
+// TestLongResponseToCallerThatSendsNothingMore guards against a response that is given up while it is
+// written because the watch then takes the end of what the caller sends for a close.
+func TestLongResponseToCallerThatSendsNothingMore(t *testing.T) {
+	f := startGuarded(t, 0, 1<<20)
+	c := f.dial(t).(*net.TCPConn)
+	send(c, "GET /left?large HTTP/1.1\r\nHost: a\r\n\r\n")
+	_ = c.CloseWrite()
+	await(t, "the request is handled", func() bool { return f.waiting.Load() == 1 })
+	// The watch sees the end of what the caller sends.
+	time.Sleep(10 * time.Millisecond)
+	close(f.release)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := io.Copy(io.Discard, response.Body)
+	if got, want := n, int64(largeBody); got != want || err != nil {
+		t.Errorf("got %d bytes and %v, want %d", got, err, want)
+	}
+	if got := f.left.Load(); got != 0 {
+		t.Error("the caller counts as gone")
+	}
+}
