Split files that have grown, and start soak tests in one place

A connection's descriptor is reached in one place (useDescriptor), not in three steps that stood twice. Tests of fleets under load start them with startEnvironment and startClients. No test, case or bound changes.

--- a/internal/sockets/guarded_conn.go
+++ b/internal/sockets/guarded_conn.go
@@ -179,13 +179,6 @@
 	c.mu.Unlock()
 }
 
-// receivedRequest reports whether the current request was received whole.
-func (c *guardedConn) receivedRequest() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.headEnded && !c.http2 && c.body.ended()
-}
-
 // receive returns pending bytes or, if there are none, bytes of the socket.
 func (c *guardedConn) receive(p []byte) (int, error) {
 	c.mu.Lock()
@@ -392,25 +385,3 @@
 	}
 	return nil
 }
-
-// closeForRoom closes a connection that was removed from the table. One whose response is unread
-// is reset: the kernel discards what the caller has not received, and a caller whose response ends
-// with the connection, as over HTTP/1.0, does not take it for complete.
-func (c *guardedConn) closeForRoom(reason admission.CloseReason) {
-	if reason == admission.CloseUnread {
-		c.resetOnClose()
-	}
-	_ = c.Conn.Close()
-}
-
-// resetOnClose makes the close of the connection a reset.
-func (c *guardedConn) resetOnClose() {
-	if x, ok := c.Conn.(lingerer); ok {
-		_ = x.SetLinger(0)
-	}
-}
-
-// lingerer is implemented by *net.TCPConn.
-type lingerer interface {
-	SetLinger(seconds int) error
-}
--- a/internal/sockets/linger.go
+++ b/internal/sockets/linger.go
@@ -5,10 +5,11 @@
 	"math"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/tarragonwell/tarragonwell/pkg/tarragonwell/admission"
 )
 
 const (
@@ -55,6 +56,28 @@
 	return err
 }
 
+// closeForRoom closes a connection that was removed from the table. One whose response is unread
+// is reset: the kernel discards what the caller has not received, and a caller whose response ends
+// with the connection, as over HTTP/1.0, does not take it for complete.
+func (c *guardedConn) closeForRoom(reason admission.CloseReason) {
+	if reason == admission.CloseUnread {
+		c.resetOnClose()
+	}
+	_ = c.Conn.Close()
+}
+
+// resetOnClose makes the close of the connection a reset.
+func (c *guardedConn) resetOnClose() {
+	if x, ok := c.Conn.(lingerer); ok {
+		_ = x.SetLinger(0)
+	}
+}
+
+// lingerer is implemented by *net.TCPConn.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
 // linger closes a connection after its last response: first for writing and, once the caller has
 // received the response, altogether. Meanwhile it discards what the caller sends: requests behind
 // a response that closes the connection are not answered, and the kernel would reset the
@@ -123,17 +146,9 @@
 // unsentBytes returns the number of written bytes that the other side has not acknowledged. A
 // connection that was closed for writing counts as one byte more.
 func unsentBytes(c net.Conn) int {
-	x, ok := c.(syscall.Conn)
-	if !ok {
-		return unsentUnknown
-	}
-	raw, err := x.SyscallConn()
-	if err != nil {
-		return unsentUnknown
-	}
 	unsent := unsentUnknown
-	_ = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+	useDescriptor(c, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
 			unsent = n
 		}
 	})
--- a/internal/sockets/watch.go
+++ b/internal/sockets/watch.go
@@ -26,6 +26,13 @@
 	Err: unix.ECONNRESET,
 }
 
+// receivedRequest reports whether the current request was received whole.
+func (c *guardedConn) receivedRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headEnded && !c.http2 && c.body.ended()
+}
+
 // readWhileHandling takes the place of a read of a single byte, with which net/http watches the
 // caller while it handles a request whose body it has received. net/http would take a byte for the
 // next request and watch no further, so that a close behind waiting requests would go unseen. This
--- a/test/soak/drain_test.go
+++ b/test/soak/drain_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -41,15 +40,7 @@
 				t.Fatal(err)
 			}
 			defer e.close()
-			c := &clients{
-				environment: e,
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				c.run(ctx, 100, 6)
-				close(done)
-			}()
+			c, stop := startClients(t, e, 100, 6)
 			time.Sleep(time.Second)
 			in := &injector{
 				environment: e,
@@ -62,8 +53,7 @@
 			}()
 			in.drainZone(nil, e.backends[0], 2*time.Second, 0)
 			time.Sleep(returnLimit)
-			cancel()
-			<-done
+			stop()
 			drain := in.zoneDrains[0]
 			for _, v := range checkDrainedZones(e, in, c.requests, e.journal.Arrivals()) {
 				t.Error(v)
--- a/test/soak/era_test.go
+++ b/test/soak/era_test.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"context"
 	"maps"
 	"net/http"
 	"strconv"
 	"testing"
 	"time"
-
-	"github.com/tarragonwell/tarragonwell/test/fleet"
 )
 
 const (
@@ -23,25 +20,8 @@
 // broken promises.
 func runThroughDrill(t *testing.T, seed uint64, change func(in *injector)) []string {
 	t.Helper()
-	folder := t.TempDir()
-	program, err := fleet.Build(folder, "tarragonwell", ".")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e, err := newEnvironment(program, folder, seed, 3, 6)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer e.close()
-	c := &clients{
-		environment: e,
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		c.run(ctx, seed, 6)
-		close(done)
-	}()
+	e := startEnvironment(t, seed, 3, 6)
+	c, stop := startClients(t, e, seed, 6)
 	in := &injector{
 		environment: e,
 	}
@@ -58,8 +38,7 @@
 	change(in)
 	recovered := time.Now()
 	time.Sleep(recoveryTime)
-	cancel()
-	<-done
+	stop()
 	return check(e, in, c.requests, recovered)
 }
 
--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/tarragonwell/tarragonwell/test/fleet"
 	"github.com/tarragonwell/tarragonwell/test/standin/prepared"
 )
 
@@ -26,16 +25,7 @@
 // TestLateRequestsInStop guards against requests that are passed on late in a planned stop and cut
 // off at its end, because their targets take longer than usual.
 func TestLateRequestsInStop(t *testing.T) {
-	folder := t.TempDir()
-	program, err := fleet.Build(folder, "tarragonwell", ".")
-	if err != nil {
-		t.Fatal(err)
-	}
-	e, err := newEnvironment(program, folder, 114, 2, 6)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer e.close()
+	e := startEnvironment(t, 114, 2, 6)
 	i := e.instances[0]
 	statuses := make([]string, lateRequests)
 	var connections []net.Conn
